batcher: leave other hosts' jobs alone until the hosts are known; follower: list again after a cut watch

Change: no adoption of others' jobs in the first 4 s; a holder compares its jobs with the heads; after a failed watch the kind is listed again.

--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -18,6 +18,10 @@
 // takeTimeout bounds the handover of one job, in which the receiver reads it from the store.
 const takeTimeout = 1500 * time.Millisecond
 
+// settleTime is how long after its start a host leaves the jobs of others alone: until it knows the other hosts, every
+// owner seems to be gone.
+const settleTime = 4 * time.Second
+
 // handoversAtOnce bounds the handovers that run beside each other.
 const handoversAtOnce = 4
 
@@ -28,22 +32,22 @@
 	}
 }
 
-// reviewLoop looks for jobs whose owner is gone. The first look is exact, since this process may have owned jobs
-// before; later ones read a stale list, which costs a tenth.
+// reviewLoop looks for jobs whose owner is gone and for jobs that this host has lost. The first look, and the one after
+// a pause of this process, is exact, since this process may have owned jobs before; others read a stale list, which
+// costs a tenth.
 func (d *Duty) reviewLoop(ctx context.Context) {
-	stale := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.reviews:
-			if err := d.review(ctx, stale); err != nil {
+			exact := d.exact.Swap(false)
+			if err := d.review(ctx, !exact); err != nil {
 				d.config.Log.Warn(logger.JobsNotReviewed).Err(err).Send()
+				d.exact.Store(exact)
 				d.sleep(appendPause)
 				d.askReview()
-				continue
 			}
-			stale = true
 		}
 	}
 }
@@ -66,13 +70,39 @@
 				return err
 			}
 		}
-		if head.Ended && d.isHeld(head.ID) {
+		if d.isHeld(head.ID) {
+			if err := d.checkHeld(ctx, head); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkHeld looks at the head of a job that this host holds: another host may have taken the job over while this one
+// was out of reach, or ended it.
+func (d *Duty) checkHeld(ctx context.Context, head batchkeeper.Head) error {
+	if d.owns(head) {
+		if head.Ended {
 			d.handle(JobEnded{Job: head.ID})
 		}
+		return nil
+	}
+	current, err := d.config.Keeper.Head(ctx, head.ID)
+	if err != nil {
+		return err
+	}
+	if !d.owns(current) {
+		d.config.Log.Warn(logger.JobLost).Str("request", string(head.ID)).Str("owner", string(current.Owner)).Send()
+		d.drop(head.ID, current)
 	}
 	return nil
 }
 
+func (d *Duty) owns(head batchkeeper.Head) bool {
+	return head.Owner == d.config.Self.ID && head.Incarnation == d.config.Incarnation
+}
+
 func (d *Duty) expired(head batchkeeper.Head) bool {
 	return d.config.KeepResults > 0 && time.Since(head.SubmittedAt) > 2*d.config.KeepResults
 }
@@ -100,7 +130,7 @@
 	if head.Owner == d.config.Self.ID {
 		return true
 	}
-	if _, live := d.liveMember(head.Owner); live {
+	if _, live := d.liveMember(head.Owner); live || time.Since(d.startedAt) < settleTime {
 		return false
 	}
 	return d.home(codec.BatchJob{ID: head.ID, Model: head.Model}).ID == d.config.Self.ID
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,8 @@
 	tickInterval = 50 * time.Millisecond
 	// reviewInterval is the time between two looks for jobs whose owner is gone, beside those after a change of members.
 	reviewInterval = 3 * time.Second
+	// frozenAfter is the pause of this process after which it may have lost jobs.
+	frozenAfter = time.Second
 	// appendPause is the wait before a write of results is repeated; firstAppendPause the one after the first failure.
 	firstAppendPause = 100 * time.Millisecond
 	appendPause      = 500 * time.Millisecond
@@ -61,6 +64,9 @@
 	config  DutyConfig
 	work    *grouper.Group
 	reviews chan struct{}
+	// exact asks the next review for a list that is not stale.
+	exact     atomic.Bool
+	startedAt time.Time
 
 	mu       sync.Mutex
 	decision *Batcher
@@ -94,8 +100,9 @@
 		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), decision: New(),
 		held: make(map[identifier.BatchID]*holding), stops: make(map[RunID]context.CancelCauseFunc),
 		owners: make(map[identifier.BatchID]batchkeeper.Head), chains: make(map[identifier.BatchID]*chain),
-		base: base, cancel: cancel,
+		base: base, cancel: cancel, startedAt: time.Now(),
 	}
+	d.exact.Store(true)
 	config.Peers.Handle(methodSubmit, d.serveSubmit)
 	config.Peers.Handle(methodTake, d.serveTake)
 	config.Peers.Handle(methodRead, d.serveRead)
@@ -120,11 +127,17 @@
 	catalogues := d.config.Catalogue.Subscribe()
 	d.work.Go(func() { d.reviewLoop(ctx) })
 	d.askReview()
+	lastTick := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticks:
+		case now := <-ticks:
+			if now.Sub(lastTick) > frozenAfter {
+				d.exact.Store(true)
+				d.askReview()
+			}
+			lastTick = now
 			d.tick()
 		case <-catalogues:
 			d.applyRoutes()
@@ -333,7 +346,7 @@
 			d.sleep(appendPause)
 			continue
 		}
-		if head.Owner != d.config.Self.ID || head.Incarnation != d.config.Incarnation {
+		if !d.owns(head) {
 			d.config.Log.Warn(logger.JobLost).Str("job", string(id)).Str("owner", string(head.Owner)).Err(taken).Send()
 			d.drop(id, head)
 			return
--- a/service/follower/follower.go
+++ b/service/follower/follower.go
@@ -124,6 +124,8 @@
 		return
 	}
 	f.mirror.Fail()
+	// A watch that was cut may have missed changes whose history is gone, so the kind is listed again.
+	f.listed = false
 	if !f.outage {
 		f.config.Log.Warn(logger.StoreUnavailable).Str("kind", f.config.Prefix).Err(err).Msg("keeping the last state")
 	}
