relayer: reach the store through other hosts while the own path is broken

Change: reads and writes of single objects go through another live host when the own path fails; leases keep to it.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -295,6 +295,33 @@
 	}
 }
 
+// Defines values for RelayOutcome.
+const (
+	RelayOutcomeConflict    RelayOutcome = "conflict"
+	RelayOutcomeNotFound    RelayOutcome = "not_found"
+	RelayOutcomeOk          RelayOutcome = "ok"
+	RelayOutcomeUnavailable RelayOutcome = "unavailable"
+	RelayOutcomeUncertain   RelayOutcome = "uncertain"
+)
+
+// Valid indicates whether the value is a known member of the RelayOutcome enum.
+func (e RelayOutcome) Valid() bool {
+	switch e {
+	case RelayOutcomeConflict:
+		return true
+	case RelayOutcomeNotFound:
+		return true
+	case RelayOutcomeOk:
+		return true
+	case RelayOutcomeUnavailable:
+		return true
+	case RelayOutcomeUncertain:
+		return true
+	default:
+		return false
+	}
+}
+
 // Defines values for ResultState.
 const (
 	ResultStateDead ResultState = "dead"
@@ -949,6 +976,22 @@
 // Region defines model for Region.
 type Region = identifier.Region
 
+// RelayOutcome defines model for RelayOutcome.
+type RelayOutcome string
+
+// RelayedCall A call to the store that another host makes for the sender; value is absent for a read.
+type RelayedCall struct {
+	Expected int64  `json:"expected,omitempty"`
+	Key      string `json:"key"`
+	Value    Raw    `json:"value,omitempty"`
+}
+
+// RelayedReply defines model for RelayedReply.
+type RelayedReply struct {
+	Object  Object       `json:"object,omitempty"`
+	Outcome RelayOutcome `json:"outcome"`
+}
+
 // ResultState defines model for ResultState.
 type ResultState string
 
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -26,6 +26,7 @@
 	StoreUnavailable    Event = 2003
 	StoreRecovered      Event = 2004
 	EditAccepted        Event = 2005
+	StoreRelayed        Event = 2007
 	EditConflict        Event = 2006
 	MemberJoined        Event = 3001
 	MemberSuspected     Event = 3002
@@ -83,6 +84,7 @@
 	{CatalogueRejected, "catalogue rejected", "A received catalogue was lower or damaged.", "None if rare; otherwise compare host versions."},
 	{StoreUnavailable, "store unavailable", "The platform's store does not answer.", "Check the platform; edits and permits are refused meanwhile."},
 	{StoreRecovered, "store recovered", "The platform's store answers again.", "None."},
+	{StoreRelayed, "store reached through another host", "This host's own path to the store is broken.", "Check the host's network and the store's refusals."},
 	{EditAccepted, "edit accepted", "A catalogue edit was accepted.", "None."},
 	{EditConflict, "edit conflict", "A catalogue edit lost against another one.", "The author reads the new revision and applies again."},
 	{MemberJoined, "member joined", "A host of the service was learned.", "None."},
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -13,10 +13,12 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/service/batcher"
 	"celerygap.example/service/batchkeeper"
+	"celerygap.example/service/connector"
 	"celerygap.example/service/follower"
 	"celerygap.example/service/limiter"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/placer"
+	"celerygap.example/service/relayer"
 )
 
 const (
@@ -40,7 +42,7 @@
 func (h *Host) buildBatches() {
 	settings := h.config.Settings
 	h.batcher = batcher.NewDuty(batcher.DutyConfig{
-		Self: h.prober.Self(), Incarnation: identifier.Incarnation(h.timer.Now().UnixMilli()), Keeper: batchkeeper.New(h.config.Store),
+		Self: h.prober.Self(), Incarnation: identifier.Incarnation(h.timer.Now().UnixMilli()), Keeper: batchkeeper.New(h.relayedStore()),
 		Runner: h.config.Runner, Rewards: h.dispatcher, MakeReward: h.config.Platform.MakeReward, Score: h.config.Platform.Score,
 		Match: func(host, path string) (codec.Entry, bool) {
 			entry, found, _ := h.match(host, path)
@@ -55,6 +57,11 @@
 	})
 }
 
+// relayedStore also reaches the store through other hosts; the lease and the followers use the own path only.
+func (h *Host) relayedStore() connector.ObjectStore {
+	return relayer.New(relayer.Config{Store: h.config.Store, Members: h.prober, Peers: h.peers, Log: h.log})
+}
+
 func (h *Host) duties() []grouper.Duty {
 	duties := []grouper.Duty{
 		{Name: "timer", Run: h.timer.Run},
