batcher: the fastest free engine first; placer: another host stands in for a holder without a path to the store

Change: engines are chosen by speed first, load second, an item moves three times at most, speeds are forgotten after 4 s; a host whose calls for the lease fail twice passes it on to the next live host and gives no more orders.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1081,6 +1081,12 @@
 	ShowAt   time.Time    `json:"show_at"`
 }
 
+// StandIn Asks the receiver to hold the lease for orders; yielded is the fencing number that the sender uses no more.
+type StandIn struct {
+	From    HostID  `json:"from"`
+	Yielded Fencing `json:"yielded,omitempty"`
+}
+
 // StepDeclaration weight_version is the version that the trainer has when it declares the step.
 type StepDeclaration struct {
 	GroupSize     int           `json:"group_size"`
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -63,6 +63,7 @@
 	OrderFailed         Event = 7001
 	LeaseAcquired       Event = 7002
 	OrderGiven          Event = 7004
+	LeasePassedOn       Event = 7005
 	LeaseLost           Event = 7003
 	SnapshotMissed      Event = 8001
 	SnapshotBuilderTook Event = 8002
@@ -120,6 +121,7 @@
 	{OrderFailed, "order failed", "An engine did not carry out an order.", "Check the engine if repeated."},
 	{OrderGiven, "order given", "An engine was ordered to load weights.", "None."},
 	{LeaseAcquired, "lease acquired", "This host holds a lease.", "None."},
+	{LeasePassedOn, "lease passed on", "This host cannot reach the store and asked another one to hold the lease.", "Check the host's path to the store."},
 	{LeaseLost, "lease lost", "This host lost a lease.", "None if rare."},
 	{SnapshotMissed, "snapshot missed", "A screen snapshot did not arrive in time; the screens show its age.", "Check the builder host."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host builds the screen snapshots.", "None."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -57,6 +57,8 @@
 	StopGrace time.Duration
 	// LeaseDuration is how long the lease for orders lasts without a renewal.
 	LeaseDuration time.Duration
+	// Fenced tells that the engines refuse orders with an old fencing number.
+	Fenced bool
 	// KeepResults is how long the results of a batch job are kept.
 	KeepResults time.Duration
 	// ReturnTime is how long after an outage of the store entries of live upstreams may take to come back.
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -52,7 +52,7 @@
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults,
 	})
 	h.placer = placer.NewDuty(placer.DutyConfig{
-		Store: h.config.Store, Orders: h.config.Orders, Members: h.prober, Timer: h.timer, Log: h.log, Rand: h.random("placer"),
+		Store: h.config.Store, Orders: h.config.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log, Rand: h.random("placer"),
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions,
 	})
 }
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -33,8 +33,14 @@
 	moveSlowness = 1.7
 	// maxMoves bounds the moves of one tick, so that the free engine's own speed shows before more follow.
 	maxMoves = 4
-	// affinity is the advantage, in parts of an engine's slots, of the engine that has read the group's prompt.
-	affinity = 0.3
+	// maxItemMoves bounds the moves of one item.
+	maxItemMoves = 3
+	// loadCost is the cost of a full engine against an idle one, in parts of the speed of a typical engine. Engines batch
+	// their requests, so a busy one is hardly slower than an idle one.
+	loadCost = 0.2
+	// affinity is the advantage of the engine that has read the group's prompt, in the same unit; a prompt is read in the
+	// time of a fraction of an event.
+	affinity = 0.05
 )
 
 // Batcher decides about batch jobs; it is not safe for concurrent use.
@@ -200,7 +206,7 @@
 	}
 	it, j := r.item, r.job
 	if r.begun {
-		r.engine.measure(now.Sub(r.eventAt))
+		r.engine.measure(now, now.Sub(r.eventAt))
 	}
 	r.begun = true
 	r.eventAt = now
@@ -224,7 +230,6 @@
 	if !slices.Contains(it.versions, e.Event.Version) {
 		it.versions = append(it.versions, e.Event.Version)
 	}
-	it.lastEngine = r.engine.host.ID
 }
 
 func (b *Batcher) endRun(now time.Time, e RunEnded) {
@@ -312,7 +317,7 @@
 
 // stopStalled ends runs whose engine is silent; they go on elsewhere.
 func (b *Batcher) stopStalled(now time.Time) {
-	stall := max(shortestStall, stallGaps*b.typicalGap())
+	stall := max(shortestStall, stallGaps*b.typicalGap(now))
 	for _, r := range b.runs {
 		limit := stall
 		if !r.begun {
@@ -328,18 +333,19 @@
 // moveFromSlow moves runs from engines that are much slower than a free one. It answers the load in which a few engines
 // run several times slower than the others and hold up their groups.
 func (b *Batcher) moveFromSlow(now time.Time) {
-	typical := b.typicalGap()
+	typical := b.typicalGap(now)
 	moves := 0
 	for _, id := range b.order {
 		slow := b.engines[id]
-		if slow.slowness(typical) < moveSlowness {
+		if slow.slowness(now, typical) < moveSlowness {
 			continue
 		}
 		for _, r := range b.runsOf(slow) {
 			if moves == maxMoves {
 				return
 			}
-			if r.stopped == "" && r.begun && b.hasFasterPlace(now, r, typical) {
+			if r.stopped == "" && r.begun && r.item.moves < maxItemMoves && b.hasFasterPlace(now, r, typical, moves) {
+				r.item.moves++
 				b.stop(r, StopSlowEngine)
 				moves++
 			}
@@ -358,14 +364,14 @@
 	return found
 }
 
-func (b *Batcher) hasFasterPlace(now time.Time, r *run, typical time.Duration) bool {
+func (b *Batcher) hasFasterPlace(now time.Time, r *run, typical time.Duration, moves int) bool {
 	if r.job.waiting() {
 		return false
 	}
-	own := r.engine.slowness(typical)
+	own := r.engine.slowness(now, typical)
 	for _, id := range b.order {
 		e := b.engines[id]
-		if e != r.engine && e.serves(now, r.job) && e.free() > maxMoves && own > moveSlowness*e.slowness(typical) {
+		if e != r.engine && e.serves(now, r.job) && e.free() > moves && own > moveSlowness*e.slowness(now, typical) {
 			return true
 		}
 	}
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -14,6 +14,10 @@
 	// speedWeight is the weight of the newest event in the moving average of an engine's time per event; with it a change
 	// of speed shows after about ten events, a fraction of a second.
 	speedWeight = 0.1
+	// speedValid is how long a measured speed counts: an engine that is avoided for its slowness is tried again then.
+	speedValid = 4 * time.Second
+	// longestGap is how many times the average a gap counts at most.
+	longestGap = 5
 	// fullPause is how long an engine gets no more runs after it refused one.
 	fullPause = 150 * time.Millisecond
 	// failedPause is how long an engine gets no runs after it broke one off; a crash takes seconds to show in the list.
@@ -26,8 +30,9 @@
 	inFlight int
 	// usableAt is when the engine may get runs again.
 	usableAt time.Time
-	// perEvent is the moving average of the time between two events of a run; zero while unknown.
-	perEvent time.Duration
+	// perEvent is the moving average of the time between two events of a run, and measuredAt when it was last updated.
+	perEvent   time.Duration
+	measuredAt time.Time
 	// seen holds versions from the engine's responses, which are newer than its entry in the list.
 	seen map[identifier.ModelName]identifier.WeightVersion
 }
@@ -54,12 +59,15 @@
 	return version, known || len(e.host.Models) == 0
 }
 
-func (e *engine) measure(gap time.Duration) {
-	if e.perEvent == 0 {
+// measure adds the time between two events. A single long pause, such as a change of weights, says little about the
+// engine's speed and counts only in part.
+func (e *engine) measure(now time.Time, gap time.Duration) {
+	if e.perEvent == 0 || now.Sub(e.measuredAt) > speedValid {
 		e.perEvent = gap
-		return
+	} else {
+		e.perEvent += time.Duration(speedWeight * float64(min(gap, longestGap*e.perEvent)-e.perEvent))
 	}
-	e.perEvent += time.Duration(speedWeight * float64(gap-e.perEvent))
+	e.measuredAt = now
 }
 
 func (e *engine) pause(now time.Time, length time.Duration) {
@@ -99,19 +107,13 @@
 		b.order = append(b.order, id)
 	}
 	slices.Sort(b.order)
-	for _, r := range b.runs {
-		if current, ok := next[r.engine.host.ID]; ok && current != r.engine {
-			// The run is on the engine's former process; it ends by itself.
-			continue
-		}
-	}
 }
 
 // typicalGap is the median of the engines' times per event; zero while no engine is measured.
-func (b *Batcher) typicalGap() time.Duration {
+func (b *Batcher) typicalGap(now time.Time) time.Duration {
 	var gaps []time.Duration
 	for _, e := range b.engines {
-		if e.perEvent > 0 {
+		if e.measured(now) {
 			gaps = append(gaps, e.perEvent)
 		}
 	}
@@ -122,10 +124,14 @@
 	return gaps[len(gaps)/2]
 }
 
-// slowness is how many times slower than the typical engine this one is, at least one.
-func (e *engine) slowness(typical time.Duration) float64 {
-	if typical <= 0 || e.perEvent <= 0 {
+func (e *engine) measured(now time.Time) bool {
+	return e.perEvent > 0 && now.Sub(e.measuredAt) <= speedValid
+}
+
+// slowness is how many times slower than the typical engine this one is; an unmeasured one counts as typical.
+func (e *engine) slowness(now time.Time, typical time.Duration) float64 {
+	if typical <= 0 || !e.measured(now) {
 		return 1
 	}
-	return max(1, float64(e.perEvent)/float64(typical))
+	return float64(e.perEvent) / float64(typical)
 }
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -39,8 +40,8 @@
 	rewardAt       time.Time
 	// notBefore keeps an item back after a failed run.
 	notBefore time.Time
-	// lastEngine made the latest events.
-	lastEngine identifier.UpstreamID
+	// moves counts the moves away from slow engines.
+	moves int
 }
 
 // run is one run of an item on an engine.
@@ -64,8 +65,10 @@
 	routed      bool
 	submittedAt time.Time
 	items       []*item
-	byID        map[identifier.ItemID]*item
-	ended       bool
+	// order holds the items in the order in which they start.
+	order []*item
+	byID  map[identifier.ItemID]*item
+	ended bool
 	// results are those that the store holds, pending those that are decided but not stored; the first inAppend of
 	// them are being written.
 	results   []codec.BatchResult
@@ -84,6 +87,8 @@
 		j.items = append(j.items, it)
 		j.byID[it.spec.ID] = it
 	}
+	j.order = slices.Clone(j.items)
+	slices.SortStableFunc(j.order, func(x, y *item) int { return cmp.Compare(y.spec.ExpectedTokens, x.spec.ExpectedTokens) })
 	j.markListed()
 	for _, progress := range event.Progress {
 		if it, ok := j.byID[progress.Item]; ok && it.state == itemWaiting {
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -9,18 +9,16 @@
 	"celerygap.example/lib/identifier"
 )
 
-// schedule starts waiting items on free engines and reward calls of complete texts. Jobs go by the priority of their
-// routes and then by their due times; within a job the groups go in the order of the submission, which begins with those
-// that an earlier job left unfinished, so that whole groups finish early.
+// schedule starts waiting items on free engines and reward calls of complete texts. Jobs go by their due times and then
+// by the priority of their routes; within a job the longest texts start first, because a text that starts late holds up
+// its group and cannot be made faster by more engines.
 func (b *Batcher) schedule(now time.Time) {
 	open := b.openJobs()
 	for _, j := range open {
 		b.score(now, j)
 	}
 	for _, j := range open {
-		if !b.startItems(now, j) {
-			continue
-		}
+		b.startItems(now, j)
 	}
 }
 
@@ -54,25 +52,24 @@
 	}
 }
 
-// startItems starts the waiting items of a job for which an engine is free and tells whether all of them found one.
-func (b *Batcher) startItems(now time.Time, j *job) bool {
-	for _, it := range j.items {
+// startItems starts the waiting items of a job for which an engine is free.
+func (b *Batcher) startItems(now time.Time, j *job) {
+	for _, it := range j.order {
 		if it.state != itemWaiting || it.complete || now.Before(it.notBefore) || it.run != nil {
 			continue
 		}
 		e := b.choose(now, j, it)
 		if e == nil {
-			return false
+			return
 		}
 		b.start(now, j, it, e)
 	}
-	return true
 }
 
-// choose returns the free engine with the least load for its speed; the one that has read the group's prompt has an
-// advantage, and a text of one version goes on only under that version.
+// choose returns the fastest free engine, the less loaded one of two that are equally fast; the one that has read the
+// group's prompt has a small advantage.
 func (b *Batcher) choose(now time.Time, j *job, it *item) *engine {
-	typical := b.typicalGap()
+	typical := b.typicalGap(now)
 	var best *engine
 	var bestCost float64
 	for _, id := range b.order {
@@ -80,7 +77,7 @@
 		if e.free() <= 0 || !e.serves(now, j) {
 			continue
 		}
-		cost := float64(e.inFlight+1) / float64(e.slots()) * e.slowness(typical)
+		cost := e.slowness(now, typical) + loadCost*float64(e.inFlight)/float64(e.slots())
 		if b.prompts[groupKey{j.job.ID, it.spec.Group}] == id {
 			cost -= affinity
 		}
--- a/service/placer/duty.go
+++ b/service/placer/duty.go
@@ -8,9 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"celerygap.example/lib/asserter"
 	"celerygap.example/lib/buffer"
 	"celerygap.example/lib/grouper"
@@ -45,9 +42,12 @@
 	Store   connector.ObjectStore
 	Orders  connector.WeightOrders
 	Members connector.Members
-	Timer   *timer.Service
-	Log     *logger.Logger
-	Rand    *rand.Rand
+	Peers   connector.Peers
+	// Fenced tells that the engines refuse orders with an old fencing number.
+	Fenced bool
+	Timer  *timer.Service
+	Log    *logger.Logger
+	Rand   *rand.Rand
 	// LeaseDuration is how long the lease of the holder lasts without a renewal.
 	LeaseDuration time.Duration
 	// FollowVersions runs while this host should hold the lease and passes the named versions to the function.
@@ -64,11 +64,20 @@
 	leaseAt  time.Time
 	held     bool
 	inFlight int
+	// failures counts the calls for the lease in a row that did not reach the store.
+	failures  int
+	startedAt time.Time
 
 	mu       sync.Mutex
 	pending  []Event
 	draining bool
 	drained  chan struct{}
+	// standInUntil is how long this host wants the lease on behalf of one that cannot reach the store, yielded the
+	// fencing number that the other host uses no more.
+	standInUntil time.Time
+	yielded      identifier.Fencing
+	// passedUntil is how long this host leaves the lease to the one that stands in for it.
+	passedUntil time.Time
 }
 
 // result carries the outcome of a call back to the duty; one of the events is set.
@@ -79,15 +88,17 @@
 
 // NewDuty returns a duty.
 func NewDuty(config DutyConfig) *Duty {
-	holder := config.Members.Self().ID + "#" + identifier.HostID(strconv.FormatUint(config.Rand.Uint64(), 36))
-	return &Duty{
-		config: config,
-		lease: updater.NewLease(updater.LeaseConfig{
-			Holder: holder, Duration: config.LeaseDuration, Renewal: config.LeaseDuration / renewalPart,
-			Margin: config.LeaseDuration / marginPart, Flight: callTimeout,
-		}),
-		decision: New(), calls: grouper.NewGroup(-1), results: buffer.New[result](eventCapacity), drained: make(chan struct{}),
+	holder := config.Members.Self().ID + holderMark + identifier.HostID(strconv.FormatUint(config.Rand.Uint64(), 36))
+	d := &Duty{
+		config: config, decision: New(), calls: grouper.NewGroup(-1), results: buffer.New[result](eventCapacity),
+		drained: make(chan struct{}), startedAt: time.Now(),
 	}
+	d.lease = updater.NewLease(updater.LeaseConfig{
+		Holder: holder, Duration: config.LeaseDuration, Renewal: config.LeaseDuration / renewalPart,
+		Margin: config.LeaseDuration / marginPart, Flight: callTimeout, Gone: d.gone,
+	})
+	config.Peers.Handle(methodStandIn, d.serveStandIn)
+	return d
 }
 
 // Tell passes engines or pools to the decision; it does not wait.
@@ -169,22 +180,20 @@
 	if draining {
 		return false, true
 	}
-	if d.held {
-		return true, false
-	}
-	var ids []string
-	for _, member := range d.config.Members.Live() {
-		ids = append(ids, string(member.ID))
+	if d.passedOn() {
+		return false, false
 	}
-	if len(ids) == 0 {
+	if d.held || d.standsIn() {
 		return true, false
 	}
-	return rendezvous.New(ids, xxhash.Sum64String).Lookup(leaseKey) == string(d.config.Members.Self().ID), false
+	first, ok := d.candidate()
+	return !ok || first.ID == d.config.Members.Self().ID, false
 }
 
 func (d *Duty) take(ctx context.Context, r result) {
 	switch {
 	case r.lease != nil:
+		d.countFailures(ctx, r.lease)
 		d.handleLease(ctx, r.lease)
 	case r.event != nil:
 		if _, ok := r.event.(OrderEnded); ok {
--- /dev/null
+++ b/service/placer/standin.go
@@ -0,0 +1,138 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"celerygap.example/lib/annotator"
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/logger"
+	"celerygap.example/service/updater"
+)
+
+// methodStandIn asks another host to hold the lease in place of one that cannot reach the store.
+const methodStandIn = "orders_stand_in"
+
+const (
+	// holderMark separates the host in a holder's name from what tells its processes apart.
+	holderMark = "#"
+	// passAfter is the number of failed calls in a row after which the lease is passed on; they take about a second.
+	passAfter = 2
+	// standInTime is how long the other host stands in; it keeps the lease after that if it holds it.
+	standInTime = 6 * time.Second
+	// settleTime is how long after its start a host takes nobody for dead, because it does not know the others yet.
+	settleTime  = 4 * time.Second
+	standInCall = 500 * time.Millisecond
+)
+
+// candidate returns the live host that should hold the lease, leaving out some.
+func (d *Duty) candidate(without ...identifier.HostID) (codec.Member, bool) {
+	members := make(map[string]codec.Member)
+	var ids []string
+	for _, member := range d.config.Members.Live() {
+		if !slices.Contains(without, member.ID) {
+			members[string(member.ID)] = member
+			ids = append(ids, string(member.ID))
+		}
+	}
+	if len(ids) == 0 {
+		return codec.Member{}, false
+	}
+	return members[rendezvous.New(ids, xxhash.Sum64String).Lookup(leaseKey)], true
+}
+
+// gone tells that a holder gives no more orders that count. A dead host may only be frozen and give an order when it
+// wakes up, so this needs engines that refuse its fencing number.
+func (d *Duty) gone(holder identifier.HostID, fencing identifier.Fencing) bool {
+	d.mu.Lock()
+	yielded := d.yielded
+	d.mu.Unlock()
+	if fencing > 0 && yielded == fencing {
+		return true
+	}
+	if !d.config.Fenced || time.Since(d.startedAt) < settleTime {
+		return false
+	}
+	host, _, _ := strings.Cut(string(holder), holderMark)
+	return !slices.ContainsFunc(d.config.Members.Live(), func(member codec.Member) bool { return string(member.ID) == host })
+}
+
+func (d *Duty) passedOn() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.passedUntil)
+}
+
+func (d *Duty) standsIn() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.standInUntil)
+}
+
+// countFailures passes the lease on when this host cannot reach the store but may reach another host.
+func (d *Duty) countFailures(ctx context.Context, event updater.LeaseEvent) {
+	var outcome updater.StoreResult
+	switch e := event.(type) {
+	case updater.LeaseRead:
+		outcome = e.Result
+	case updater.LeaseWritten:
+		outcome = e.Result
+	}
+	if outcome != updater.StoreDown && outcome != updater.StoreUncertain {
+		d.failures = 0
+		return
+	}
+	d.failures++
+	if d.failures < passAfter {
+		return
+	}
+	d.failures = 0
+	next, ok := d.candidate(d.config.Members.Self().ID)
+	if !ok {
+		return
+	}
+	// No order leaves under the lease from here on; those on their way carry its fencing number.
+	fencing := d.lease.Grant().Fencing
+	d.mu.Lock()
+	d.passedUntil = time.Now().Add(standInTime)
+	d.standInUntil = time.Time{}
+	d.mu.Unlock()
+	d.calls.Go(func() { d.passOn(ctx, next, fencing) })
+}
+
+func (d *Duty) passOn(ctx context.Context, next codec.Member, fencing identifier.Fencing) {
+	ctx, cancel := context.WithTimeout(ctx, standInCall)
+	defer cancel()
+	if !d.config.Fenced {
+		// The next holder waits until the lease has run out.
+		fencing = 0
+	}
+	err := d.config.Peers.Call(ctx, next, methodStandIn, codec.StandIn{From: d.config.Members.Self().ID, Yielded: fencing}, nil)
+	d.config.Log.Warn(logger.LeasePassedOn).Str("lease", leaseKey).Str("to", string(next.ID)).Int64("fencing", int64(fencing)).Err(err).Send()
+	if err != nil {
+		d.mu.Lock()
+		d.passedUntil = time.Time{}
+		d.mu.Unlock()
+	}
+}
+
+func (d *Duty) serveStandIn(_ context.Context, params json.RawMessage) (any, error) {
+	var request codec.StandIn
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode stand-in", "peer", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.standInUntil = time.Now().Add(standInTime)
+	if request.Yielded > 0 {
+		d.yielded = request.Yielded
+	}
+	return struct{}{}, nil
+}
--- a/service/updater/lease.go
+++ b/service/updater/lease.go
@@ -91,6 +91,9 @@
 	Renewal  time.Duration
 	Margin   time.Duration
 	Flight   time.Duration
+	// Gone tells that a holder certainly gives no more orders that count: its host is known to be dead and the engines
+	// check fencing numbers, or it has yielded. It may be nil.
+	Gone func(holder identifier.HostID, fencing identifier.Fencing) bool
 }
 
 // Lease decides when this process holds the lease of one shard.
@@ -254,6 +257,9 @@
 	if l.seen.Holder == "" || l.seen.Holder == l.config.Holder {
 		return true
 	}
+	if l.config.Gone != nil && l.config.Gone(l.seen.Holder, l.seen.Fencing) {
+		return true
+	}
 	return now.Sub(l.seenAt) >= l.config.Duration+l.config.Flight
 }
 
