placer: infer the placement anew under a new lease; take over at once from a process that has ended

Change: an earlier process of a live host counts as gone by its start time; engines are assigned only under the lease and after the versions are listed. Runs that are 1.25 times slower than a free engine move.

--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -52,7 +52,7 @@
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults,
 	})
 	h.placer = placer.NewDuty(placer.DutyConfig{
-		Store: h.config.Store, Orders: h.config.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log, Rand: h.random("placer"),
+		Store: h.config.Store, Orders: h.config.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions,
 	})
 }
@@ -143,7 +143,7 @@
 	h.placer.Tell(placer.EnginesChanged{Engines: published.Listed})
 }
 
-func (h *Host) followVersions(ctx context.Context, named func(identifier.ModelName, identifier.WeightVersion)) {
+func (h *Host) followVersions(ctx context.Context, named func(identifier.ModelName, identifier.WeightVersion), listed func()) {
 	known := make(map[identifier.ModelName]identifier.WeightVersion)
 	_ = follower.New(follower.Config{
 		Store: h.config.Store, Prefix: h.config.Platform.VersionKind, Pause: versionPause, Log: h.log,
@@ -161,6 +161,7 @@
 				h.log.Info(logger.WeightsAnnounced).Str("model", string(model)).Int64("version", int64(version)).Send()
 				named(model, version)
 			}
+			listed()
 		},
 	}).Run(ctx)
 }
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -30,7 +30,7 @@
 	rewardPause = 200 * time.Millisecond
 	// moveSlowness is how many times slower than a free engine an engine must be before its runs move: a move reads the
 	// prompt and the text again.
-	moveSlowness = 1.7
+	moveSlowness = 1.25
 	// maxMoves bounds the moves of one tick, so that the free engine's own speed shows before more follow.
 	maxMoves = 4
 	// maxItemMoves bounds the moves of one item.
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -221,9 +221,16 @@
 		ID: c.Engine.ID, Address: c.Engine.Address, Zone: c.Engine.Zone, Region: c.Engine.Region,
 		Leaving: c.Engine.State == codec.HostStateLeaving,
 	}
+	events := 0
+	var longest time.Duration
+	last := started
 	err := d.config.Runner.Run(ctx, connector.ItemRun{
 		Upstream: upstream, Item: c.Item, Host: c.Host, After: c.After,
 		OnEvent: func(event connector.RunEvent) error {
+			events++
+			now := time.Now()
+			longest = max(longest, now.Sub(last))
+			last = now
 			d.handle(EventReceived{Run: c.Run, Event: event})
 			return ctx.Err()
 		},
@@ -235,19 +242,27 @@
 	}
 	d.perform(d.decision.Handle(time.Now(), RunEnded{Run: c.Run, Err: err}))
 	d.mu.Unlock()
-	d.logRun(c, started, err)
+	d.logRun(c, runFigures{took: time.Since(started), events: events, longestGap: longest}, err)
 	if evidence := evidenceOf(err); evidence != "" {
 		d.config.Upstreams.Report(c.Engine.ID, evidence)
 	}
 }
 
-func (d *Duty) logRun(c StartRun, started time.Time, err error) {
+// runFigures are what a run's log line tells of its course.
+type runFigures struct {
+	took       time.Duration
+	events     int
+	longestGap time.Duration
+}
+
+func (d *Duty) logRun(c StartRun, figures runFigures, err error) {
 	line := d.config.Log.Info(logger.ItemRunEnded)
 	if err != nil {
 		line = d.config.Log.Warn(logger.ItemRunEnded).Str("failure", string(connector.FailureOf(err))).Err(err)
 	}
 	line.Str("request", string(c.Item.ID)).Str("job", string(c.Job)).Str("upstream", string(c.Engine.ID)).
-		Uint64("run", uint64(c.Run)).Int64("after", int64(c.After)).Dur("took", time.Since(started)).Send()
+		Uint64("run", uint64(c.Run)).Int64("after", int64(c.After)).Int("events", figures.events).
+		Dur("took", figures.took).Dur("longest_gap", figures.longestGap).Send()
 }
 
 // evidenceOf says what a run showed about its engine; a run that this host ended shows nothing.
--- a/service/placer/duty.go
+++ b/service/placer/duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -26,7 +25,7 @@
 	// callTimeout bounds one call to an engine or the store.
 	callTimeout = time.Second
 	// watchInterval is the time between two looks at an engine that loads; a load takes about a second.
-	watchInterval = 350 * time.Millisecond
+	watchInterval = 200 * time.Millisecond
 	// watchLimit is how long an order is followed.
 	watchLimit = 4 * time.Second
 	// eventCapacity holds the results of calls on their way to the duty.
@@ -47,11 +46,11 @@
 	Fenced bool
 	Timer  *timer.Service
 	Log    *logger.Logger
-	Rand   *rand.Rand
 	// LeaseDuration is how long the lease of the holder lasts without a renewal.
 	LeaseDuration time.Duration
 	// FollowVersions runs while this host should hold the lease and passes the named versions to the function.
-	FollowVersions func(ctx context.Context, named func(identifier.ModelName, identifier.WeightVersion))
+	// It calls listed once all versions named so far have been passed.
+	FollowVersions func(ctx context.Context, named func(identifier.ModelName, identifier.WeightVersion), listed func())
 }
 
 // Duty gives the orders while it holds the lease.
@@ -88,7 +87,7 @@
 
 // NewDuty returns a duty.
 func NewDuty(config DutyConfig) *Duty {
-	holder := config.Members.Self().ID + holderMark + identifier.HostID(strconv.FormatUint(config.Rand.Uint64(), 36))
+	holder := config.Members.Self().ID + holderMark + identifier.HostID(strconv.FormatInt(int64(config.Members.Self().Incarnation), 10))
 	d := &Duty{
 		config: config, decision: New(), calls: grouper.NewGroup(-1), results: buffer.New[result](eventCapacity),
 		drained: make(chan struct{}), startedAt: time.Now(),
@@ -166,7 +165,7 @@
 	d.calls.Go(func() {
 		d.config.FollowVersions(ctx, func(model identifier.ModelName, version identifier.WeightVersion) {
 			d.results.Offer(result{event: VersionNamed{Model: model, Version: version}})
-		})
+		}, func() { d.results.Offer(result{event: VersionsListed{}}) })
 	})
 	return cancel
 }
@@ -215,9 +214,9 @@
 	d.pending = nil
 	d.mu.Unlock()
 	for _, event := range events {
-		d.decide(ctx, event)
+		d.decision.Handle(time.Now(), event)
 	}
-	d.decide(ctx, Ticked{})
+	d.giveOrders(ctx)
 }
 
 func (d *Duty) handleLease(ctx context.Context, event updater.LeaseEvent) {
@@ -243,23 +242,25 @@
 		}
 		d.config.Log.Info(title).Str("lease", leaseKey).Int64("fencing", int64(d.lease.Grant().Fencing)).Send()
 	}
+	if held && !d.held {
+		d.decision.Handle(time.Now(), LeaseTaken{})
+	}
 	d.held = held
 }
 
-// decide passes an event to the decision. Loads are only ordered under the lease; without it they are forgotten after
-// their limit, and a later holder decides anew from what the engines show.
+// decide passes an event to the decision and orders what follows from it.
 func (d *Duty) decide(ctx context.Context, event Event) {
+	d.decision.Handle(time.Now(), event)
+	d.giveOrders(ctx)
+}
+
+// giveOrders starts the loads that are due, under the lease only.
+func (d *Duty) giveOrders(ctx context.Context) {
 	grant := d.lease.Grant()
 	if !grant.Valid(time.Now()) {
-		if _, tick := event.(Ticked); tick {
-			return
-		}
-		for _, load := range d.decision.Handle(time.Now(), event) {
-			d.decision.Handle(time.Now(), OrderEnded{Engine: load.Engine.ID, Model: load.Model})
-		}
 		return
 	}
-	for _, load := range d.decision.Handle(time.Now(), event) {
+	for _, load := range d.decision.Handle(time.Now(), Ticked{}) {
 		d.inFlight++
 		d.calls.Go(func() { d.results.Offer(result{event: d.order(ctx, load, grant)}) })
 	}
--- a/service/placer/placer.go
+++ b/service/placer/placer.go
@@ -50,9 +50,18 @@
 	Failed  bool
 }
 
-// Ticked tells that time has passed.
+// VersionsListed tells that all versions named so far are known.
+type VersionsListed struct{}
+
+// LeaseTaken tells that this host begins to give orders. What it believed of the placement before may be outdated, so it
+// is inferred anew from the engines' weights.
+type LeaseTaken struct{}
+
+// Ticked tells that time has passed and orders may be given.
 type Ticked struct{}
 
+func (VersionsListed) event() {}
+func (LeaseTaken) event()     {}
 func (EnginesChanged) event() {}
 func (PoolsChanged) event()   {}
 func (VersionNamed) event()   {}
@@ -73,6 +82,7 @@
 	named   map[identifier.ModelName]identifier.WeightVersion
 	engines map[identifier.UpstreamID]*engine
 	finish  map[identifier.ModelName]bool
+	listed  bool
 }
 
 type pool struct {
@@ -101,7 +111,7 @@
 	}
 }
 
-// Handle processes one event and returns the loads to order now.
+// Handle processes one event; only Ticked returns loads to order.
 func (p *Placer) Handle(now time.Time, event Event) []Load {
 	switch e := event.(type) {
 	case EnginesChanged:
@@ -112,7 +122,23 @@
 		p.named[e.Model] = max(p.named[e.Model], e.Version)
 	case OrderEnded:
 		p.endOrder(now, e)
+	case VersionsListed:
+		p.listed = true
+	case LeaseTaken:
+		for _, e := range p.engines {
+			e.model = ""
+		}
 	case Ticked:
+		return p.review(now)
+	}
+	return nil
+}
+
+// review assigns the engines and returns the loads to order; it waits for the named versions, because before them no
+// engine seems to be behind.
+func (p *Placer) review(now time.Time) []Load {
+	if !p.listed {
+		return nil
 	}
 	var loads []Load
 	for _, pl := range p.pools {
--- a/service/placer/standin.go
+++ b/service/placer/standin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +31,8 @@
 	// settleTime is how long after its start a host takes nobody for dead, because it does not know the others yet.
 	settleTime  = 4 * time.Second
 	standInCall = 500 * time.Millisecond
+	// restartGap is less than the time that the platform takes to start a process again.
+	restartGap = 200 * time.Millisecond
 )
 
 // candidate returns the live host that should hold the lease, leaving out some.
@@ -57,11 +60,36 @@
 	if fencing > 0 && yielded == fencing {
 		return true
 	}
-	if !d.config.Fenced || time.Since(d.startedAt) < settleTime {
+	host, start, _ := strings.Cut(string(holder), holderMark)
+	if host == string(d.config.Members.Self().ID) {
+		// One process runs on a host, so an earlier one has ended.
+		return true
+	}
+	if !d.config.Fenced {
 		return false
 	}
-	host, _, _ := strings.Cut(string(holder), holderMark)
-	return !slices.ContainsFunc(d.config.Members.Live(), func(member codec.Member) bool { return string(member.ID) == host })
+	member, live := d.member(identifier.HostID(host))
+	if live {
+		return restartedSince(member, start)
+	}
+	return time.Since(d.startedAt) >= settleTime
+}
+
+func (d *Duty) member(id identifier.HostID) (codec.Member, bool) {
+	members := d.config.Members.Live()
+	i := slices.IndexFunc(members, func(member codec.Member) bool { return member.ID == id })
+	if i < 0 {
+		return codec.Member{}, false
+	}
+	return members[i], true
+}
+
+// restartedSince tells whether a member's process started after the one with the given start. An incarnation begins
+// with the start in milliseconds and grows by one with each refutation, far fewer than the milliseconds between two
+// starts.
+func restartedSince(member codec.Member, start string) bool {
+	former, err := strconv.ParseInt(start, 10, 64)
+	return err == nil && int64(member.Incarnation) > former+restartGap.Milliseconds()
 }
 
 func (d *Duty) passedOn() bool {
