--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -18,10 +18,6 @@
 // takeTimeout bounds the handover of one job, in which the receiver reads it from the store.
 const takeTimeout = 1500 * time.Millisecond
 
-// settleTime is how long after its start a host leaves the jobs of others alone: until it knows the other hosts, every
-// owner seems to be gone.
-const settleTime = 4 * time.Second
-
 // handoversAtOnce bounds the handovers that run beside each other.
 const handoversAtOnce = 4
 
@@ -130,7 +126,7 @@
 	if head.Owner == d.config.Self.ID {
 		return true
 	}
-	if _, live := d.liveMember(head.Owner); live || time.Since(d.startedAt) < settleTime {
+	if _, live := d.liveMember(head.Owner); live || time.Since(d.startedAt) < d.config.SettleTime {
 		return false
 	}
 	return d.home(codec.BatchJob{ID: head.ID, Model: head.Model}).ID == d.config.Self.ID
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -336,11 +336,7 @@
 	typical := b.typicalGap(now)
 	moves := 0
 	for _, id := range b.order {
-		slow := b.engines[id]
-		if slow.slowness(now, typical) < moveSlowness {
-			continue
-		}
-		for _, r := range b.runsOf(slow) {
+		for _, r := range b.runsOf(b.engines[id]) {
 			if moves == maxMoves {
 				return
 			}
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -22,8 +23,10 @@
 const (
 	// tickInterval is how late a decision about time may be.
 	tickInterval = 50 * time.Millisecond
-	// reviewInterval is the time between two looks for jobs whose owner is gone, beside those after a change of members.
-	reviewInterval = 3 * time.Second
+	// DefaultSettleTime covers the time in which hosts that start together find each other.
+	DefaultSettleTime = 4 * time.Second
+	// DefaultReviewInterval keeps the reviews, beside those after a change of members, to few calls to the store.
+	DefaultReviewInterval = 3 * time.Second
 	// frozenAfter is the pause of this process after which it may have lost jobs.
 	frozenAfter = time.Second
 	// appendPause is the wait before a write of results is repeated; firstAppendPause the one after the first failure.
@@ -57,6 +60,11 @@
 	Log            *logger.Logger
 	// KeepResults is how long results are kept after a job was submitted.
 	KeepResults time.Duration
+	// SettleTime is how long after its start a host leaves the jobs of others alone: until it knows the other hosts,
+	// every owner seems to be gone. ReviewInterval is the time between two looks for jobs whose owner is gone. Zero
+	// means the defaults.
+	SettleTime     time.Duration
+	ReviewInterval time.Duration
 }
 
 // Duty owns a Batcher and implements connector.Batches.
@@ -95,6 +103,8 @@
 
 // NewDuty returns a duty and registers its methods with the peers.
 func NewDuty(config DutyConfig) *Duty {
+	config.SettleTime = cmp.Or(config.SettleTime, DefaultSettleTime)
+	config.ReviewInterval = cmp.Or(config.ReviewInterval, DefaultReviewInterval)
 	base, cancel := context.WithCancel(context.Background())
 	d := &Duty{
 		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), decision: New(),
@@ -122,7 +132,7 @@
 	defer d.cancel()
 	ticks, stopTicks := d.config.Timer.Subscribe(tickInterval)
 	defer stopTicks()
-	reviews, stopReviews := d.config.Timer.Subscribe(reviewInterval)
+	reviews, stopReviews := d.config.Timer.Subscribe(d.config.ReviewInterval)
 	defer stopReviews()
 	catalogues := d.config.Catalogue.Subscribe()
 	d.work.Go(func() { d.reviewLoop(ctx) })
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -109,7 +109,7 @@
 	slices.Sort(b.order)
 }
 
-// typicalGap is the median of the engines' times per event; zero while no engine is measured.
+// typicalGap is the lower median of the engines' times per event; zero while no engine is measured.
 func (b *Batcher) typicalGap(now time.Time) time.Duration {
 	var gaps []time.Duration
 	for _, e := range b.engines {
@@ -121,7 +121,7 @@
 		return 0
 	}
 	slices.Sort(gaps)
-	return gaps[len(gaps)/2]
+	return gaps[(len(gaps)-1)/2]
 }
 
 func (e *engine) measured(now time.Time) bool {
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -243,7 +243,7 @@
 		keys = append(keys, chunkKey(head.ID, i))
 	}
 	for _, key := range keys {
-		if err := k.store.Delete(ctx, key, 0); err != nil && !errors.Is(err, connector.ErrNotFound) {
+		if err := k.store.Remove(ctx, key); err != nil && !errors.Is(err, connector.ErrNotFound) {
 			return err
 		}
 	}
--- /dev/null
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -0,0 +1,101 @@
+package batchkeeper_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/batchkeeper"
+	"celerygap.example/service/connector"
+	"celerygap.example/service/storekeeper"
+)
+
+func newJob(items, bodyBytes int) codec.BatchJob {
+	job := codec.BatchJob{ID: "job-1", Entry: "batch", Host: "a.example", Model: "m"}
+	for i := range items {
+		job.Items = append(job.Items, codec.BatchItem{ID: identifier.ItemID(fmt.Sprint(i)), Path: "/x", Body: bytes.Repeat([]byte{byte(i)}, bodyBytes)})
+	}
+	return job
+}
+
+func head(owner identifier.HostID) codec.BatchHead {
+	return codec.BatchHead{Owner: owner, Incarnation: 1, Total: 3, SubmittedAt: time.Now().UTC()}
+}
+
+// Guards against a job over the store's limit for one object, and against one that comes back changed.
+func TestLargeJobIsStoredInParts(t *testing.T) {
+	k := batchkeeper.New(storekeeper.New())
+	job := newJob(5, 300<<10)
+	stored, created, err := k.Create(t.Context(), job, head("a"))
+	require.NoError(t, err)
+	require.True(t, created)
+	require.Greater(t, stored.Parts, 1)
+	loaded, err := k.Load(t.Context(), stored)
+	require.NoError(t, err)
+	require.Equal(t, job, loaded)
+}
+
+// Guards against accepting a job twice: a repeated submission at another host finds the first one's head.
+func TestRepeatedSubmissionFindsTheFirst(t *testing.T) {
+	k := batchkeeper.New(storekeeper.New())
+	_, _, err := k.Create(t.Context(), newJob(2, 10), head("a"))
+	require.NoError(t, err)
+	found, created, err := k.Create(t.Context(), newJob(2, 10), head("b"))
+	require.NoError(t, err)
+	require.False(t, created)
+	require.EqualValues(t, "a", found.Owner)
+}
+
+// Guards against refusing a job as not stored when the answer to its head was lost after the write took effect.
+func TestLostAnswerOfHeadIsRecognised(t *testing.T) {
+	store := storekeeper.New()
+	k := batchkeeper.New(store)
+	store.SetFaults(storekeeper.Faults{LoseAnswers: 2})
+	_, created, err := k.Create(t.Context(), newJob(1, 10), head("a"))
+	require.NoError(t, err)
+	require.True(t, created)
+}
+
+// Guards against a refusal that is not true: while the store is down nothing was stored.
+func TestStoreDownIsCertain(t *testing.T) {
+	store := storekeeper.New()
+	store.SetFaults(storekeeper.Faults{Down: true})
+	_, _, err := batchkeeper.New(store).Create(t.Context(), newJob(1, 10), head("a"))
+	require.ErrorIs(t, err, connector.ErrUnavailable)
+	require.NotErrorIs(t, err, connector.ErrUncertain)
+}
+
+// Guards against two owners at one position: the second one learns what stands there, and an own chunk whose answer
+// was lost is recognised.
+func TestChunksAreWrittenOnce(t *testing.T) {
+	store := storekeeper.New()
+	k := batchkeeper.New(store)
+	first := codec.BatchChunk{Writer: batchkeeper.NewWriter("a"), Results: []codec.BatchResult{{Item: "1", State: codec.ResultStateDone}}}
+	store.SetFaults(storekeeper.Faults{LoseAnswers: 1})
+	require.ErrorIs(t, k.Append(t.Context(), "job-1", 0, first), connector.ErrUncertain)
+	require.NoError(t, k.Append(t.Context(), "job-1", 0, first))
+	second := codec.BatchChunk{Writer: batchkeeper.NewWriter("b"), Results: []codec.BatchResult{{Item: "2"}}}
+	var taken *batchkeeper.TakenError
+	require.ErrorAs(t, k.Append(t.Context(), "job-1", 0, second), &taken)
+	require.Equal(t, first, taken.Chunk)
+}
+
+// Guards against objects that stay behind when a job is removed.
+func TestRemoveDeletesAllObjects(t *testing.T) {
+	store := storekeeper.New()
+	k := batchkeeper.New(store)
+	stored, _, err := k.Create(t.Context(), newJob(5, 300<<10), head("a"))
+	require.NoError(t, err)
+	require.NoError(t, k.Append(t.Context(), "job-1", 0, codec.BatchChunk{Writer: "w"}))
+	require.NoError(t, k.Remove(t.Context(), stored, 1))
+	for _, kind := range []string{"batchheads/", "batchparts/", "batchresults/"} {
+		list, err := store.List(t.Context(), kind)
+		require.NoError(t, err)
+		require.Empty(t, list.Objects, kind)
+	}
+}
--- /dev/null
+++ b/service/cataloguer/cataloguer_test.go
@@ -0,0 +1,23 @@
+package cataloguer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/service/cataloguer"
+)
+
+// Guards against a host that goes back to an older configuration, such as one from a late answer of the store.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	c := cataloguer.New(cataloguer.Config{})
+	changes := c.Subscribe()
+	require.False(t, c.Ready())
+	require.True(t, c.Apply(&codec.Catalogue{Revision: 7}))
+	require.False(t, c.Apply(&codec.Catalogue{Revision: 7}))
+	require.False(t, c.Apply(&codec.Catalogue{Revision: 3}))
+	require.True(t, c.Apply(&codec.Catalogue{Revision: 9}))
+	require.EqualValues(t, 9, c.Current().Revision)
+	require.EqualValues(t, 9, (<-changes).Revision, "a slow subscriber gets the newest")
+}
--- a/service/connector/store.go
+++ b/service/connector/store.go
@@ -66,6 +66,8 @@
 	Store
 	// ListStale returns a list that may be seconds old; it costs a fraction of List.
 	ListStale(ctx context.Context, prefix string) (codec.ObjectList, error)
+	// Remove removes an object whatever its version is, or returns ErrNotFound.
+	Remove(ctx context.Context, key string) error
 	// PutStatus replaces the status of an object and leaves its value as it is.
 	PutStatus(ctx context.Context, key string, status json.RawMessage) error
 }
--- /dev/null
+++ b/service/follower/follower_test.go
@@ -0,0 +1,97 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
+	"celerygap.example/service/follower"
+	"celerygap.example/service/storekeeper"
+)
+
+const hold = 2 * time.Second
+
+func object(key string, version int64) codec.Object {
+	return codec.Object{Key: key, Version: version, Revision: version, Value: json.RawMessage("1")}
+}
+
+func list(revision int64, objects ...codec.Object) codec.ObjectList {
+	return codec.ObjectList{Revision: revision, Objects: objects}
+}
+
+// Guards against losing live engines: entries that lapsed during an outage of the store come back shortly after it.
+func TestMirrorHoldsMissingObjectsAfterAnOutage(t *testing.T) {
+	start := time.Now()
+	m := follower.NewMirror(hold)
+	m.Replace(start, list(5, object("a", 1), object("b", 2)))
+	m.Fail()
+	returned := start.Add(10 * time.Second)
+	m.Replace(returned, list(9, object("a", 1)))
+	require.Len(t, m.Objects(), 2, "b may come back")
+	require.False(t, m.Expire(returned.Add(hold-time.Millisecond)))
+	require.True(t, m.Expire(returned.Add(hold)))
+	require.Len(t, m.Objects(), 1)
+}
+
+// Guards against treating a removal outside an outage as a lapse: an engine that left must get no more work.
+func TestMirrorRemovesAtOnceWithoutAnOutage(t *testing.T) {
+	start := time.Now()
+	m := follower.NewMirror(hold)
+	m.Replace(start, list(5, object("a", 1)))
+	gone := object("a", 6)
+	gone.Deleted = true
+	require.True(t, m.Apply(start.Add(time.Second), list(6, gone)))
+	require.Empty(t, m.Objects())
+}
+
+// Guards against keeping an entry that came back as missing, and against an older state replacing a newer one.
+func TestMirrorKeepsReturnedAndNewerObjects(t *testing.T) {
+	start := time.Now()
+	m := follower.NewMirror(hold)
+	m.Replace(start, list(5, object("a", 5)))
+	m.Fail()
+	m.Replace(start.Add(time.Second), list(6))
+	m.Apply(start.Add(2*time.Second), list(7, object("a", 7)))
+	m.Apply(start.Add(2*time.Second), list(7, object("a", 6)))
+	require.False(t, m.Expire(start.Add(time.Minute)))
+	require.EqualValues(t, 7, m.Objects()["a"].Version)
+}
+
+// Guards against missing changes whose history the store has dropped: the kind is listed again.
+func TestFollowerListsAgainAfterLostHistory(t *testing.T) {
+	store := storekeeper.New()
+	put(t, store, "kind/a")
+	updates := make(chan follower.Update, 16)
+	f := follower.New(follower.Config{Store: store, Prefix: "kind/", Wait: time.Second, OnUpdate: func(u follower.Update) { updates <- u }})
+	ctx, cancel := context.WithCancel(t.Context())
+	group := grouper.NewGroup(-1)
+	group.Go(func() { _ = f.Run(ctx) })
+	require.Len(t, (<-updates).Objects, 1)
+	store.SetFaults(storekeeper.Faults{Down: true})
+	put2 := storekeeper.Faults{}
+	time.Sleep(50 * time.Millisecond)
+	store.SetFaults(put2)
+	put(t, store, "kind/b")
+	store.Compact()
+	require.Eventually(t, func() bool {
+		select {
+		case u := <-updates:
+			return len(u.Objects) == 2
+		default:
+			return false
+		}
+	}, 5*time.Second, 10*time.Millisecond)
+	cancel()
+	group.Wait()
+}
+
+func put(t *testing.T, store *storekeeper.Store, key string) {
+	t.Helper()
+	_, err := store.Put(t.Context(), key, 0, json.RawMessage("1"))
+	require.NoError(t, err)
+}
--- a/service/matcher/matcher.go
+++ b/service/matcher/matcher.go
@@ -46,9 +46,6 @@
 	return codec.Entry{}, false
 }
 
-// KnowsHost tells whether any route has the host.
-func (m *Matcher) KnowsHost(host string) bool { return len(m.entries(host)) > 0 }
-
 func (m *Matcher) entries(host string) []codec.Entry {
 	host = strings.ToLower(host)
 	if entries, ok := m.hosts[host]; ok {
--- /dev/null
+++ b/service/placer/placer_test.go
@@ -0,0 +1,198 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/placer"
+)
+
+const pool identifier.PoolName = "engines"
+
+var models = []identifier.ModelName{"m0", "m1", "m2"}
+
+// fleet is a pool of engines whose loads take a fixed time.
+type fleet struct {
+	p       *placer.Placer
+	now     time.Time
+	engines map[identifier.UpstreamID]codec.ListedHost
+	loading map[identifier.UpstreamID]load
+	loads   []placer.Load
+}
+
+type load struct {
+	placer.Load
+	ends time.Time
+}
+
+func newFleet(engines int) *fleet {
+	f := &fleet{now: time.Now(), engines: make(map[identifier.UpstreamID]codec.ListedHost), loading: make(map[identifier.UpstreamID]load)}
+	for i := range engines {
+		id := identifier.UpstreamID(fmt.Sprintf("e%02d", i))
+		host := codec.ListedHost{ID: id, Address: "10.0.0.1:80", Pool: pool, Zone: identifier.Zone(fmt.Sprint(i % 3)), State: codec.HostStateLive}
+		for _, model := range models {
+			host.Models = append(host.Models, codec.ModelState{Model: model, Serving: 1})
+		}
+		f.engines[id] = host
+	}
+	f.restart()
+	return f
+}
+
+// restart replaces the placer, as when another host takes the lease.
+func (f *fleet) restart() {
+	f.p = placer.New()
+	f.p.Handle(f.now, placer.PoolsChanged{Pools: []codec.Pool{{Name: pool, Models: models}}})
+	f.publish()
+	f.p.Handle(f.now, placer.LeaseTaken{})
+}
+
+func (f *fleet) publish() {
+	hosts := make([]codec.ListedHost, 0, len(f.engines))
+	for _, host := range f.engines {
+		hosts = append(hosts, host)
+	}
+	f.p.Handle(f.now, placer.EnginesChanged{Engines: map[identifier.PoolName][]codec.ListedHost{pool: hosts}})
+}
+
+func (f *fleet) name(version identifier.WeightVersion, named ...identifier.ModelName) {
+	for _, model := range named {
+		f.p.Handle(f.now, placer.VersionNamed{Model: model, Version: version})
+	}
+	f.p.Handle(f.now, placer.VersionsListed{})
+}
+
+// run lets time pass until no load is in progress and returns how many loads ran at once at most.
+func (f *fleet) run(t *testing.T) (most int) {
+	for range 400 {
+		started := f.p.Handle(f.now, placer.Ticked{})
+		for _, l := range started {
+			_, twice := f.loading[l.Engine.ID]
+			require.False(t, twice, "engine %s is ordered while it loads", l.Engine.ID)
+			f.loading[l.Engine.ID] = load{l, f.now.Add(900 * time.Millisecond)}
+			f.loads = append(f.loads, l)
+		}
+		if len(f.loading) == 0 {
+			return most
+		}
+		most = max(most, len(f.loading))
+		f.now = f.now.Add(50 * time.Millisecond)
+		for id, l := range f.loading {
+			if f.now.Before(l.ends) {
+				continue
+			}
+			delete(f.loading, id)
+			host := f.engines[id]
+			states := append([]codec.ModelState{}, host.Models...)
+			for i := range states {
+				if states[i].Model == l.Model {
+					states[i].Serving = l.Version
+				}
+			}
+			host.Models = states
+			f.engines[id] = host
+			f.publish()
+			f.p.Handle(f.now, placer.OrderEnded{Engine: id, Model: l.Model, Version: l.Version})
+		}
+	}
+	t.Fatal("the loads do not end")
+	return most
+}
+
+func (f *fleet) serving(model identifier.ModelName, version identifier.WeightVersion) (ids []identifier.UpstreamID) {
+	for id, host := range f.engines {
+		for _, state := range host.Models {
+			if state.Model == model && state.Serving == version {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+// Guards against loads beyond those that each trainer's equal share of the engines needs, against too many at once, and
+// against models that are all in one zone.
+func TestEachModelGetsItsPart(t *testing.T) {
+	f := newFleet(9)
+	f.name(2, models...)
+	require.LessOrEqual(t, f.run(t), 2)
+	require.Len(t, f.loads, 9)
+	for _, model := range models {
+		ids := f.serving(model, 2)
+		require.Len(t, ids, 3)
+		zones := map[identifier.Zone]bool{}
+		for _, id := range ids {
+			zones[f.engines[id].Zone] = true
+		}
+		require.Len(t, zones, 3, "model %s", model)
+	}
+}
+
+// Guards against orders before the versions are known, when no engine seems to be behind and any division looks right.
+func TestNothingIsOrderedBeforeTheVersionsAreListed(t *testing.T) {
+	f := newFleet(9)
+	f.p.Handle(f.now, placer.VersionNamed{Model: "m0", Version: 2})
+	require.Empty(t, f.p.Handle(f.now, placer.Ticked{}))
+}
+
+// Guards against engines that change their models when another host takes the lease: it finds the division in the
+// engines' own weights.
+func TestNewHolderKeepsTheDivision(t *testing.T) {
+	f := newFleet(9)
+	f.name(2, models...)
+	f.run(t)
+	before := map[identifier.ModelName][]identifier.UpstreamID{}
+	for _, model := range models {
+		before[model] = f.serving(model, 2)
+	}
+	f.restart()
+	f.loads = nil
+	f.name(3, models...)
+	f.run(t)
+	require.Len(t, f.loads, 9)
+	for _, model := range models {
+		require.ElementsMatch(t, before[model], f.serving(model, 3))
+	}
+}
+
+// Guards against a model without engines after some of its engines are gone.
+func TestLostEnginesAreReplaced(t *testing.T) {
+	f := newFleet(9)
+	f.name(2, models...)
+	f.run(t)
+	for _, id := range f.serving("m1", 2) {
+		delete(f.engines, id)
+	}
+	f.publish()
+	f.run(t)
+	require.Len(t, f.serving("m1", 2), 2)
+}
+
+// Guards against a step that waits because all engines of its model load at the same time, although they still serve
+// the version that it allows.
+func TestSomeEnginesKeepServing(t *testing.T) {
+	f := newFleet(3)
+	f.name(2, models...)
+	f.run(t)
+	f = newFleet(9)
+	f.name(2, "m0")
+	first := f.p.Handle(f.now, placer.Ticked{})
+	require.Len(t, first, 1)
+}
+
+// Guards against hammering an engine whose order failed.
+func TestFailedOrderRests(t *testing.T) {
+	f := newFleet(3)
+	f.name(2, models...)
+	first := f.p.Handle(f.now, placer.Ticked{})
+	require.NotEmpty(t, first)
+	f.p.Handle(f.now, placer.OrderEnded{Engine: first[0].Engine.ID, Model: first[0].Model, Failed: true})
+	for _, again := range f.p.Handle(f.now, placer.Ticked{}) {
+		require.NotEqual(t, first[0].Engine.ID, again.Engine.ID)
+	}
+}
--- a/service/storekeeper/storekeeper.go
+++ b/service/storekeeper/storekeeper.go
@@ -23,8 +23,12 @@
 	objects  map[string]codec.Object
 	changed  chan struct{}
 	hosts    codec.HostList
-	faults   Faults
-	counts   Counts
+	// statuses holds the statuses of objects apart from their values.
+	statuses map[string]json.RawMessage
+	// compacted is the revision up to which history is gone.
+	compacted int64
+	faults    Faults
+	counts    Counts
 }
 
 // Faults selects the faults that the store shows.
@@ -44,11 +48,11 @@
 	Watches int64
 }
 
-var _ connector.Store = (*Store)(nil)
+var _ connector.ObjectStore = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: make(map[string]codec.Object), changed: make(chan struct{})}
+	return &Store{objects: make(map[string]codec.Object), statuses: make(map[string]json.RawMessage), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -99,6 +103,50 @@
 	return s.collect(prefix, func(o codec.Object) bool { return !o.Deleted }), nil
 }
 
+// ListStale is List; this store has no older state.
+func (s *Store) ListStale(ctx context.Context, prefix string) (codec.ObjectList, error) {
+	return s.List(ctx, prefix)
+}
+
+// PutStatus replaces the status of an object.
+func (s *Store) PutStatus(ctx context.Context, key string, status json.RawMessage) error {
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Writes++
+	if object, ok := s.objects[key]; !ok || object.Deleted {
+		return connector.ErrNotFound
+	}
+	s.statuses[key] = status
+	return nil
+}
+
+// Status returns the status of an object, or nil.
+func (s *Store) Status(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statuses[key]
+}
+
+// Compact forgets the history so far and cuts the waiting watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+	s.notify()
+}
+
+// Remove removes an object whatever its version is.
+func (s *Store) Remove(ctx context.Context, key string) error {
+	object, err := s.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	return s.Delete(ctx, key, object.Version)
+}
+
 // Put writes an object if the expected version is current.
 func (s *Store) Put(ctx context.Context, key string, expected int64, value json.RawMessage) (codec.Object, error) {
 	return s.write(ctx, key, expected, codec.Object{Key: key, Value: value})
@@ -123,6 +171,10 @@
 	for {
 		s.mu.Lock()
 		down, changed := s.faults.Down, s.changed
+		if after < s.compacted {
+			s.mu.Unlock()
+			return codec.ObjectList{}, connector.ErrCompacted
+		}
 		list := s.collect(prefix, func(o codec.Object) bool { return o.Revision > after })
 		s.mu.Unlock()
 		if down {
