spreader: one watcher of the store in each zone of a large fleet

Change: in zones of more than three hosts one watches, checks its path to the store twice a second and passes the state on; a host that has not heard from it for a second follows the store itself.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1087,6 +1087,21 @@
 	Yielded Fencing `json:"yielded,omitempty"`
 }
 
+// StatePush The state of one kind of objects; objects holds those that the receiver lacks, keys names all.
+type StatePush struct {
+	From     HostID   `json:"from"`
+	Keys     []string `json:"keys"`
+	Kind     string   `json:"kind"`
+	Objects  []Object `json:"objects,omitempty"`
+	Revision int64    `json:"revision"`
+}
+
+// StateReply defines model for StateReply.
+type StateReply struct {
+	// Revision What the receiver has now; 0 asks for the whole state.
+	Revision int64 `json:"revision"`
+}
+
 // StepDeclaration weight_version is the version that the trainer has when it declares the step.
 type StepDeclaration struct {
 	GroupSize     int           `json:"group_size"`
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -28,6 +28,7 @@
 	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/prober"
+	"celerygap.example/service/spreader"
 )
 
 const (
@@ -127,7 +128,9 @@
 	dispatcher *dispatcher.Dispatcher
 	batcher    *batcher.Duty
 	placer     *placer.Duty
-	changes    chan struct{}
+
+	configuration *spreader.Duty
+	upstreams     *spreader.Duty
 }
 
 type listeners struct {
@@ -136,7 +139,7 @@
 
 // New listens on the configured addresses and builds the parts; nothing runs before Run.
 func New(config Config) (*Host, error) {
-	h := &Host{config: config, timer: timer.New(timer.Config{}), changes: make(chan struct{}, 1)}
+	h := &Host{config: config, timer: timer.New(timer.Config{})}
 	h.log = config.Log.With("host", string(config.Settings.HostID))
 	if err := h.listen(); err != nil {
 		h.closeListeners()
@@ -206,6 +209,7 @@
 		OnProven: func(proven codec.ProvenFingerprint) { h.prober.Proven([]codec.ProvenFingerprint{proven}) },
 	})
 	h.buildBatches()
+	h.buildSpreaders()
 	h.front = h.config.NewFront(Parts{
 		Match: h.match, Plain: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
 	})
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -19,6 +19,7 @@
 	"celerygap.example/service/lister"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/relayer"
+	"celerygap.example/service/spreader"
 )
 
 const (
@@ -57,6 +58,20 @@
 	})
 }
 
+// buildSpreaders makes the copies of the configuration and of the upstreams' entries.
+func (h *Host) buildSpreaders() {
+	h.configuration = spreader.NewDuty(spreader.Config{
+		Follower: follower.Config{Store: h.config.Store, Prefix: h.config.Platform.ConfigurationKind, Log: h.log},
+		Members:  h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnUpdate: h.applyConfiguration,
+	})
+	h.upstreams = spreader.NewDuty(spreader.Config{
+		Follower: follower.Config{
+			Store: h.config.Store, Prefix: h.config.Platform.UpstreamKind, Hold: h.config.Settings.ReturnTime, Pause: upstreamPause, Log: h.log,
+		},
+		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnUpdate: h.applyUpstreams,
+	})
+}
+
 // relayedStore also reaches the store through other hosts; the lease and the followers use the own path only.
 func (h *Host) relayedStore() connector.ObjectStore {
 	return relayer.New(relayer.Config{Store: h.config.Store, Members: h.prober, Peers: h.peers, Log: h.log})
@@ -70,13 +85,8 @@
 		{Name: "dispatcher", Run: h.dispatcher.Run},
 		{Name: "batcher", Run: h.batcher.Run},
 		{Name: "placer", Run: h.placer.Run},
-		{Name: "configuration", Run: follower.New(follower.Config{
-			Store: h.config.Store, Prefix: h.config.Platform.ConfigurationKind, Log: h.log, OnUpdate: h.applyConfiguration,
-		}).Run},
-		{Name: "upstreams", Run: follower.New(follower.Config{
-			Store: h.config.Store, Prefix: h.config.Platform.UpstreamKind, Hold: h.config.Settings.ReturnTime, Pause: upstreamPause,
-			Log: h.log, OnUpdate: h.applyUpstreams,
-		}).Run},
+		{Name: "configuration", Run: h.configuration.Run},
+		{Name: "upstreams", Run: h.upstreams.Run},
 		h.serve("callers", h.listeners.caller, h.front.Handler()),
 		h.serve("readiness", h.listeners.ready, h.front.ReadyHandler()),
 	}
--- a/service/batcher/duty_test.go
+++ b/service/batcher/duty_test.go
@@ -109,9 +109,8 @@
 
 type noReports struct{}
 
-func (noReports) Pool(identifier.PoolName) []connector.Upstream      { return nil }
-func (noReports) Report(identifier.UpstreamID, connector.Evidence)   {}
-func (noReports) Listed(name identifier.PoolName) []codec.ListedHost { return nil }
+func (noReports) Pool(identifier.PoolName) []connector.Upstream    { return nil }
+func (noReports) Report(identifier.UpstreamID, connector.Evidence) {}
 
 // host is one batcher with its duty.
 type host struct {
--- a/service/follower/follower.go
+++ b/service/follower/follower.go
@@ -27,6 +27,8 @@
 type Update struct {
 	// Sequence grows with each update.
 	Sequence int64
+	// Revision is the store's revision of the state.
+	Revision int64
 	Objects  map[string]codec.Object
 }
 
@@ -116,7 +118,7 @@
 
 func (f *Follower) publish() {
 	f.sequence++
-	f.config.OnUpdate(Update{Sequence: f.sequence, Objects: f.mirror.Objects()})
+	f.config.OnUpdate(Update{Sequence: f.sequence, Revision: f.mirror.Revision(), Objects: f.mirror.Objects()})
 }
 
 func (f *Follower) fail(ctx context.Context, err error) {
