dispatcher: pass streams of events on and continue them on another upstream

Cause: routes of kind streaming, which other deployments have, were answered only after the whole response had arrived. Change: StreamCaller in the dispatcher, Streams in the adapter; a stream that may be resumed continues after its last event, one that ends early is cut. Refusals and failed attempts are logged with the caller's request id.

--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -80,6 +80,7 @@
 type Parts struct {
 	Match     func(host, path string) (entry codec.Entry, found, known bool)
 	Plain     connector.PlainCaller
+	Streams   connector.StreamCaller
 	Batches   connector.Batches
 	Catalogue connector.Catalogue
 	Ready     func() bool
@@ -105,6 +106,7 @@
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
 	Plain    connector.PlainServices
+	Streams  connector.Streams
 	Runner   connector.ItemRunner
 	Orders   connector.WeightOrders
 	Platform Platform
@@ -204,14 +206,14 @@
 	h.lister = lister.NewDuty(lister.DutyConfig{Timer: h.timer, Logger: h.log, Pushed: true, OnPublish: h.publishUpstreams})
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
-		Plain: h.config.Plain, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
+		Plain: h.config.Plain, Streams: h.config.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
 		Limiter:  limiterConfig,
 		OnProven: func(proven codec.ProvenFingerprint) { h.prober.Proven([]codec.ProvenFingerprint{proven}) },
 	})
 	h.buildBatches()
 	h.buildSpreaders()
 	h.front = h.config.NewFront(Parts{
-		Match: h.match, Plain: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
+		Match: h.match, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
 	})
 }
 
--- a/service/connector/plain.go
+++ b/service/connector/plain.go
@@ -34,3 +34,41 @@
 	// Probe tells whether the upstream accepts connections.
 	Probe(ctx context.Context, upstream Upstream) error
 }
+
+// StreamCall is one attempt to get or continue a stream of events.
+type StreamCall struct {
+	PlainCall
+	// After is the last event that is held; zero starts from the beginning.
+	After identifier.EventNumber
+	// OnStart is called with the head of a successful response, before its first event.
+	OnStart func(PlainResponse) error
+	// OnEvent is called for each whole event as it arrives; an error ends the attempt.
+	OnEvent func(StreamEvent) error
+}
+
+// StreamEvent is one event as the upstream sent it.
+type StreamEvent struct {
+	Number identifier.EventNumber
+	Raw    []byte
+}
+
+// Streams is the client of services that answer with streams of events.
+type Streams interface {
+	// Stream returns nil once the stream is complete; its errors are *UpstreamError.
+	Stream(ctx context.Context, call StreamCall) error
+}
+
+// StreamSink takes a stream on its way to the caller.
+type StreamSink interface {
+	// Start is called once, with the head of the first upstream's response.
+	Start(PlainResponse) error
+	// Event is called for each event in order.
+	Event(StreamEvent) error
+}
+
+// StreamCaller passes streams on under admission, routing and retries.
+type StreamCaller interface {
+	// Stream continues a stream on another upstream where its route allows it. Its errors are *refuser.Refusal; a
+	// response that is no stream is returned instead of being passed to the sink.
+	Stream(ctx context.Context, request PlainRequest, sink StreamSink) (*PlainResponse, error)
+}
--- a/service/connector/request.go
+++ b/service/connector/request.go
@@ -59,7 +59,9 @@
 
 // PlainRequest is one call to a plain service.
 type PlainRequest struct {
-	Entry          identifier.EntryName
+	Entry identifier.EntryName
+	// ID is the caller's own id of the request, for logs.
+	ID             string
 	Host           string
 	Method         string
 	Path           string
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -44,13 +44,15 @@
 	Upstreams connector.Upstreams
 	Engines   connector.Engines
 	Plain     connector.PlainServices
-	Permits   connector.Permits
-	Meter     *meter.Meter
-	Log       *logger.Logger
-	Timer     *timer.Service
-	Policy    router.PolicyName
-	Limiter   limiter.Config
-	Isolator  isolator.Config
+	// Streams serves routes whose responses are streams; it may be nil without such routes.
+	Streams  connector.Streams
+	Permits  connector.Permits
+	Meter    *meter.Meter
+	Log      *logger.Logger
+	Timer    *timer.Service
+	Policy   router.PolicyName
+	Limiter  limiter.Config
+	Isolator isolator.Config
 	// Random seeds the policies that choose at random.
 	Random *rand.Rand
 	// MaxAttempts bounds the attempts of one request, beside the retry budget.
@@ -96,8 +98,9 @@
 }
 
 var (
-	_ connector.Generator   = (*Dispatcher)(nil)
-	_ connector.PlainCaller = (*Dispatcher)(nil)
+	_ connector.Generator    = (*Dispatcher)(nil)
+	_ connector.PlainCaller  = (*Dispatcher)(nil)
+	_ connector.StreamCaller = (*Dispatcher)(nil)
 )
 
 // New returns a dispatcher; its duty is Run.
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -24,8 +24,10 @@
 
 // job is one request on its way through admission and attempts.
 type job struct {
-	d           *Dispatcher
-	id          uint64
+	d  *Dispatcher
+	id uint64
+	// requestID is the caller's own id of the request.
+	requestID   string
 	entry       codec.Entry
 	model       *codec.ModelSpec
 	pool        identifier.PoolName
@@ -194,8 +196,10 @@
 		return
 	}
 	d.config.Meter.Refused(string(j.entry.Name), refusal)
-	d.config.Log.Info(logger.RequestRefused).Str("entry", string(j.entry.Name)).Str("reason", string(refusal.Reason)).
-		Str("outcome", string(refusal.Outcome)).Msg(refusal.Detail)
+	d.config.Log.Info(logger.RequestRefused).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("reason", string(refusal.Reason)).
+		Str("outcome", string(refusal.Outcome)).
+		Int("attempts", j.attempts).Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).
+		Msg(refusal.Detail)
 	asserter.Check(asserter.NotRunIsTrue, refusal.Outcome != codec.OutcomeNotRun || j.unsettled == 0,
 		"entry %s: refused as not run after %d attempts that may have run", j.entry.Name, j.unsettled)
 	delay := time.Since(j.givenUp)
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -31,6 +31,7 @@
 // Call runs a call to a plain service; its errors are *refuser.Refusal.
 func (d *Dispatcher) Call(ctx context.Context, request connector.PlainRequest) (connector.PlainResponse, error) {
 	j, refusal := d.newJob(request.Entry, false)
+	j.requestID = request.ID
 	var response connector.PlainResponse
 	if refusal == nil {
 		response, refusal = j.call(ctx, request)
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -103,7 +103,7 @@
 	conclusion := t.handle(Failed{failure})
 	rule := conclusion.Rule
 	j.settle(t, rule, err)
-	j.config().Log.Warn(logger.AttemptFailed).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
+	j.config().Log.Warn(logger.AttemptFailed).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
 		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Err(err).Send()
 	end := j.examine(ctx, p, rule)
 	j.tellRouter(p, rule, end)
