--- /dev/null
+++ b/lib/logger/bounded_test.go
@@ -0,0 +1,58 @@
+package logger_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/logger"
+)
+
+// output collects lines; while it is blocked a write waits, like a full pipe.
+type output struct {
+	mu      sync.Mutex
+	buffer  bytes.Buffer
+	blocked chan struct{}
+}
+
+func (o *output) Write(line []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Write(line)
+}
+
+// Guards against logs that grow without bound under load, and against lines that vanish uncounted.
+func TestVolumeIsBounded(t *testing.T) {
+	out := &output{}
+	log, flush := logger.NewBounded(logger.BoundedConfig{Output: out, LinesPerSecond: 10})
+	for range 500 {
+		log.Info(logger.AttemptFailed).Send()
+	}
+	time.Sleep(150 * time.Millisecond)
+	log.Info(logger.Stopped).Send()
+	flush()
+	text := out.buffer.String()
+	require.Less(t, strings.Count(text, "\n"), 30)
+	require.Contains(t, text, `"title":"log lines left out","count":4`)
+}
+
+// Guards against callers that wait for a reader of the logs.
+func TestWritingNeverBlocks(t *testing.T) {
+	out := &output{blocked: make(chan struct{})}
+	log, flush := logger.NewBounded(logger.BoundedConfig{Output: out, LinesPerSecond: 100_000})
+	done := make(chan struct{})
+	timeout := time.AfterFunc(5*time.Second, func() { close(done) })
+	for range 20_000 {
+		log.Info(logger.AttemptFailed).Send()
+	}
+	require.True(t, timeout.Stop(), "writing waited for the output")
+	close(out.blocked)
+	flush()
+}
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -38,8 +38,10 @@
 	FingerprintProven   Event = 4004
 	UpstreamLeaving     Event = 4005
 	UpstreamUnreadable  Event = 4006
+	RequestAnswered     Event = 4007
 	HostEmptied         Event = 1009
 	SettingsReloaded    Event = 1010
+	LinesLeftOut        Event = 1011
 	PermitUncertain     Event = 5001
 	ShardTaken          Event = 5002
 	StepDeclared        Event = 6001
@@ -81,6 +83,7 @@
 	{TLSNotReloaded, "TLS files not reloaded", "Changed certificate files cannot be used; the former ones stay in use.", "Correct the files before the former certificate expires."},
 	{HostEmptied, "host emptied", "The operator wanted this host emptied, and it holds nothing that must last.", "None."},
 	{SettingsReloaded, "settings reloaded", "The settings file was read again; the changed keys are named.", "Restart the host for settings that are read at the start."},
+	{LinesLeftOut, "log lines left out", "More lines were due than the budget allows or the reader took; they are counted here.", "None if short; otherwise look at the metrics."},
 	{CatalogueApplied, "catalogue applied", "A higher catalogue revision is in force on this host.", "None."},
 	{CatalogueRejected, "catalogue rejected", "A received catalogue was lower or damaged.", "None if rare; otherwise compare host versions."},
 	{StoreUnavailable, "store unavailable", "The platform's store does not answer.", "Check the platform; edits and permits are refused meanwhile."},
@@ -93,6 +96,7 @@
 	{MemberDead, "member dead", "A suspected host did not refute in time.", "Replace the host if it stays away."},
 	{MemberLeft, "member left", "A host announced its planned stop.", "None."},
 	{RequestRefused, "request refused", "A request got a final refusal.", "See the reason in docs/metrics.md."},
+	{RequestAnswered, "request answered", "A request got the response of an upstream.", "None."},
 	{AttemptFailed, "attempt failed", "An attempt on an upstream failed.", "Check the upstream if frequent."},
 	{ChunkRejected, "chunk rejected", "A late, crossed or repeated chunk was refused.", "Check the upstream if frequent."},
 	{FingerprintProven, "fingerprint proven", "A request crashed an upstream while it ran alone; it is refused from now on.", "Ask the caller named in the entry."},
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -27,7 +27,9 @@
 	d  *Dispatcher
 	id uint64
 	// requestID is the caller's own id of the request.
-	requestID   string
+	requestID string
+	// answeredBy is the upstream whose response the caller gets.
+	answeredBy  identifier.UpstreamID
 	entry       codec.Entry
 	model       *codec.ModelSpec
 	pool        identifier.PoolName
@@ -193,6 +195,9 @@
 	d.mu.Unlock()
 	if refusal == nil {
 		d.config.Meter.Answered(string(j.entry.Name), time.Since(j.accepted).Seconds())
+		d.config.Log.Info(logger.RequestAnswered).Str("request", j.requestID).Str("entry", string(j.entry.Name)).
+			Str("upstream", string(j.answeredBy)).Int("attempts", j.attempts).Int("upstream_failures", j.failures).
+			Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).Send()
 		return
 	}
 	d.config.Meter.Refused(string(j.entry.Name), refusal)
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -70,6 +70,7 @@
 		err := j.runStoppable(ctx, p, t, run)
 		if err == nil {
 			t.handle(Completed{})
+			j.answeredBy = p.upstream.ID
 			j.d.config.Upstreams.Report(p.upstream.ID, connector.EvidenceAnswered)
 			j.leave(&p, isolator.EndAnswered)
 			return nil
