batcher: save long unfinished texts in the store

Change: once a second the events added to texts of 16 and more events are written as a chain of chunks, which only a host that knows its state can continue; whoever takes a job over goes on from there.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1058,6 +1058,18 @@
 	Total      int        `json:"total"`
 }
 
+// SavedText Events of an unfinished text that follow the first `after` events; whatever was saved behind those is void.
+type SavedText struct {
+	After    int      `json:"after"`
+	Complete bool     `json:"complete,omitempty"`
+	Events   []string `json:"events"`
+	Item     ItemID   `json:"item"`
+	Score    string   `json:"score,omitempty"`
+
+	// Versions All versions of the text so far.
+	Versions []WeightVersion `json:"versions"`
+}
+
 // Segment defines model for Segment.
 type Segment struct {
 	FirstToken    Tokens        `json:"first_token"`
@@ -1160,6 +1172,12 @@
 	Progress []ItemProgress `json:"progress"`
 }
 
+// TextChunk Value of the store object batchtexts/<job>.<number>. A chunk continues the state of the chunks before it, so only a host that wrote or read those may write it.
+type TextChunk struct {
+	Texts  []SavedText `json:"texts"`
+	Writer string      `json:"writer"`
+}
+
 // Tokens defines model for Tokens.
 type Tokens = identifier.Tokens
 
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -62,6 +62,7 @@
 	RewardEnded         Event = 6112
 	ResultsListed       Event = 6113
 	ResultsNotListed    Event = 6114
+	TextsNotSaved       Event = 6115
 	OrderFailed         Event = 7001
 	LeaseAcquired       Event = 7002
 	OrderGiven          Event = 7004
@@ -122,6 +123,7 @@
 	{RewardEnded, "reward call ended", "A reward call got its score or is repeated.", "Check the scoring service if failures are frequent."},
 	{ResultsListed, "results listed", "The store holds further results of a batch job.", "None."},
 	{ResultsNotListed, "results not listed", "A write of results failed and is repeated.", "Check the store."},
+	{TextsNotSaved, "texts not saved", "A write of unfinished texts failed; they would be generated again after a crash.", "Check the store."},
 	{OrderFailed, "order failed", "An engine did not carry out an order.", "Check the engine if repeated."},
 	{OrderGiven, "order given", "An engine was ordered to load weights.", "None."},
 	{LeaseAcquired, "lease acquired", "This host holds a lease.", "None."},
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -111,8 +111,11 @@
 	}
 	_, chunks, err := d.readChain(ctx, head.ID)
 	if err == nil {
-		d.drop(head.ID, head)
-		err = d.config.Keeper.Remove(ctx, head, chunks)
+		var texts int
+		if _, texts, err = d.config.Keeper.Texts(ctx, head.ID); err == nil {
+			d.drop(head.ID, head)
+			err = d.config.Keeper.Remove(ctx, head, chunks, texts)
+		}
 	}
 	d.config.Log.Info(logger.JobDiscarded).Str("request", string(head.ID)).Err(err).Send()
 }
@@ -154,12 +157,15 @@
 	if err != nil {
 		return err
 	}
-	results, chunks, err := d.readChain(ctx, id)
-	if err != nil {
+	o := opening{progress: progress}
+	if o.results, o.chunks, err = d.readChain(ctx, id); err != nil {
+		return err
+	}
+	if o.saved, o.textChunks, err = d.config.Keeper.Texts(ctx, id); err != nil {
 		return err
 	}
-	d.config.Log.Info(logger.JobAdopted).Str("request", string(id)).Str("former", string(former)).Int("results", len(results)).Send()
-	d.open(head, job, results, chunks, progress)
+	d.config.Log.Info(logger.JobAdopted).Str("request", string(id)).Str("former", string(former)).Int("results", len(o.results)).Send()
+	d.open(head, job, o)
 	return nil
 }
 
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -91,6 +91,10 @@
 		b.endReward(now, e)
 	case Appended:
 		b.appended(e.Job)
+	case TextsSaved:
+		b.textsSaved(e.Job)
+	case SavingEnded:
+		b.endSaving(e.Job)
 	case Superseded:
 		b.supersede(e)
 	case Ticked:
@@ -313,6 +317,7 @@
 	}
 	b.stopStalled(now)
 	b.moveFromSlow(now)
+	b.save(now)
 }
 
 // stopStalled ends runs whose engine is silent; they go on elsewhere.
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -468,3 +468,66 @@
 	}
 	x.settle(store, 3)
 }
+
+// Guards against long texts that start again after all processes have ended: what the store holds is continued, short
+// texts are not saved, and a text that was cleared makes its saved part void.
+func TestLongTextsAreSaved(t *testing.T) {
+	x := newBench(t)
+	x.engines(engine("a", 2, 8))
+	x.openItems(codec.BatchSpec{}, item("long", 100), item("short", 0))
+	for n := identifier.EventNumber(1); n <= 20; n++ {
+		x.event(1, n, 2)
+	}
+	x.event(2, 1, 2)
+	saved := x.saves()
+	require.Len(t, saved, 1)
+	require.EqualValues(t, "long", saved[0].Item)
+	require.Len(t, saved[0].Events, 20)
+	x.event(1, 21, 2)
+	require.Empty(t, x.saves(), "one write at a time")
+	x.handle(batcher.TextsSaved{Job: jobID})
+	saved = x.saves()
+	require.Equal(t, 20, saved[0].After)
+	require.Equal(t, []string{"e21"}, saved[0].Events)
+
+	y := newBench(t)
+	y.engines(engine("a", 2, 8))
+	y.open(batcher.JobOpened{
+		Job:   codec.BatchJob{ID: jobID, Model: model, MinVersion: 2, Items: []codec.BatchItem{item("long", 100)}},
+		Saved: []codec.ItemProgress{{Item: "long", Events: make([]string, 21), Versions: []identifier.WeightVersion{2}}},
+	}, codec.BatchSpec{})
+	require.EqualValues(t, 21, y.runs[y.last()].After)
+}
+
+func (x *bench) saves() (texts []codec.SavedText) {
+	x.now = x.now.Add(1100 * time.Millisecond)
+	for _, command := range x.b.Handle(x.now, batcher.Ticked{}) {
+		if c, ok := command.(batcher.SaveTexts); ok {
+			texts = append(texts, c.Texts...)
+		}
+	}
+	return texts
+}
+
+// Guards against a saved text that is joined from two starts of the item: what was saved of the first one is void.
+func TestRestartedTextIsSavedAnew(t *testing.T) {
+	x := newBench(t)
+	x.engines(engine("a", 2, 8), engine("b", 3, 8))
+	x.openItems(codec.BatchSpec{SingleVersion: true}, item("long", 100))
+	for n := identifier.EventNumber(1); n <= 20; n++ {
+		x.event(1, n, 2)
+	}
+	require.Len(t, x.saves(), 1)
+	x.event(1, 21, 3)
+	require.Equal(t, batcher.StopMixedWeights, x.stopped[1])
+	x.fail(1, connector.FailureCancelled)
+	run := x.last()
+	for n := identifier.EventNumber(1); n <= 25; n++ {
+		x.event(run, n, 3)
+	}
+	x.handle(batcher.TextsSaved{Job: jobID})
+	saved := x.saves()
+	require.Len(t, saved, 1)
+	require.Zero(t, saved[0].After)
+	require.Len(t, saved[0].Events, 25)
+}
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -93,6 +93,8 @@
 	head   batchkeeper.Head
 	job    codec.BatchJob
 	chunks int
+	// texts is the number of chunks of saved texts.
+	texts int
 	// changed is closed and replaced whenever the list of results grows or the job ends.
 	changed chan struct{}
 	// appending is held by the one write of results that may be on its way.
@@ -210,6 +212,11 @@
 			if h, ok := d.held[c.Job]; ok {
 				d.work.Go(func() { d.appendResults(h, c) })
 			}
+		case SaveTexts:
+			if h, ok := d.held[c.Job]; ok {
+				number := h.texts
+				d.work.Go(func() { d.saveTexts(h, c, number) })
+			}
 		case Changed:
 			if h, ok := d.held[c.Job]; ok {
 				close(h.changed)
@@ -347,6 +354,30 @@
 	}
 }
 
+// saveTexts writes a chunk of unfinished texts until the store holds it or another host has written in its place.
+func (d *Duty) saveTexts(h *holding, c SaveTexts, number int) {
+	chunk := codec.TextChunk{Writer: batchkeeper.NewWriter(d.config.Self.ID), Texts: c.Texts}
+	wait := firstAppendPause
+	for d.base.Err() == nil && d.holds(h) {
+		err := d.config.Keeper.AppendTexts(d.base, c.Job, number, chunk)
+		if err == nil {
+			d.mu.Lock()
+			h.texts = number + 1
+			d.perform(d.decision.Handle(time.Now(), TextsSaved{Job: c.Job}))
+			d.mu.Unlock()
+			return
+		}
+		if _, ok := asTaken(err); ok {
+			d.config.Log.Warn(logger.TextsNotSaved).Str("job", string(c.Job)).Int("chunk", number).Err(err).Msg("another host saves texts of this job")
+			d.handle(SavingEnded{Job: c.Job})
+			return
+		}
+		d.config.Log.Warn(logger.TextsNotSaved).Str("job", string(c.Job)).Int("chunk", number).Err(err).Send()
+		d.sleep(wait)
+		wait = min(2*wait, appendPause)
+	}
+}
+
 func (d *Duty) sleep(wait time.Duration) {
 	pause := time.NewTimer(wait)
 	defer pause.Stop()
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -21,6 +21,8 @@
 	SubmittedAt time.Time
 	Results     []codec.BatchResult
 	Progress    []codec.ItemProgress
+	// Saved is what the store holds of the unfinished texts; Progress continues it.
+	Saved []codec.ItemProgress
 }
 
 // JobEnded stops a job; what is listed stays.
@@ -65,6 +67,12 @@
 // Appended tells that the store holds the results of the last Append.
 type Appended struct{ Job identifier.BatchID }
 
+// TextsSaved tells that the store holds the texts of the last SaveTexts.
+type TextsSaved struct{ Job identifier.BatchID }
+
+// SavingEnded tells that another host has added to the saved texts, so that this one can no longer continue them.
+type SavingEnded struct{ Job identifier.BatchID }
+
 // Superseded replaces the list of results by the store's, after another host appended to it.
 type Superseded struct {
 	Job     identifier.BatchID
@@ -84,6 +92,8 @@
 func (RewardEnded) event()    {}
 func (Appended) event()       {}
 func (Superseded) event()     {}
+func (TextsSaved) event()     {}
+func (SavingEnded) event()    {}
 func (Ticked) event()         {}
 
 // Command is an output of the decision.
@@ -118,6 +128,12 @@
 	Results []codec.BatchResult
 }
 
+// SaveTexts writes what was added to the long unfinished texts; the next SaveTexts follows its outcome.
+type SaveTexts struct {
+	Job   identifier.BatchID
+	Texts []codec.SavedText
+}
+
 // Changed tells that the list of results of a job has grown or the job has ended.
 type Changed struct{ Job identifier.BatchID }
 
@@ -126,6 +142,7 @@
 func (StartReward) command() {}
 func (Append) command()      {}
 func (Changed) command()     {}
+func (SaveTexts) command()   {}
 
 // StopReason says why a run is stopped.
 type StopReason string
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -40,6 +40,11 @@
 	rewardAt       time.Time
 	// notBefore keeps an item back after a failed run.
 	notBefore time.Time
+	// saved is how many events the store holds of the text, and savedAll whether it holds its latest state.
+	saved    int
+	savedAll bool
+	// start counts how often the text was started.
+	start int
 	// moves counts the moves away from slow engines.
 	moves int
 }
@@ -58,6 +63,12 @@
 	stopped StopReason
 }
 
+// savedState is the state of a text when it was given to SaveTexts.
+type savedState struct {
+	start  int
+	events int
+}
+
 // job is an open batch job.
 type job struct {
 	job         codec.BatchJob
@@ -75,6 +86,11 @@
 	pending   []codec.BatchResult
 	pendingAt time.Time
 	inAppend  int
+	// saving holds the texts of the SaveTexts on its way; savedAt is when the last one
+	// began, and noSaving is set once another host has added to the saved texts.
+	saving   map[*item]savedState
+	savedAt  time.Time
+	noSaving bool
 }
 
 func newJob(event JobOpened) *job {
@@ -90,9 +106,19 @@
 	j.order = slices.Clone(j.items)
 	slices.SortStableFunc(j.order, func(x, y *item) int { return cmp.Compare(y.spec.ExpectedTokens, x.spec.ExpectedTokens) })
 	j.markListed()
+	for _, saved := range event.Saved {
+		if it, ok := j.byID[saved.Item]; ok && it.state == itemWaiting {
+			it.restore(saved)
+			it.saved = len(saved.Events)
+			it.savedAll = true
+		}
+	}
 	for _, progress := range event.Progress {
-		if it, ok := j.byID[progress.Item]; ok && it.state == itemWaiting {
+		if it, ok := j.byID[progress.Item]; ok && it.state == itemWaiting && len(progress.Events) >= len(it.events) {
 			it.restore(progress)
+			// The former owner may have started the text again since it was saved, so all of it is saved anew.
+			it.saved = 0
+			it.savedAll = false
 		}
 	}
 	return j
@@ -126,6 +152,9 @@
 	it.versions = nil
 	it.complete = false
 	it.score = ""
+	it.saved = 0
+	it.savedAll = false
+	it.start++
 }
 
 func (it *item) last() identifier.EventNumber { return identifier.EventNumber(len(it.events)) }
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -78,7 +78,7 @@
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(job.ID)).Str("outcome", string(connector.BatchRefused)).Err(err).Send()
 		return connector.BatchRefused, err
 	case created:
-		d.open(head, job, nil, 0, nil)
+		d.open(head, job, opening{})
 		return connector.BatchAccepted, nil
 	}
 	d.remember(head)
@@ -88,22 +88,34 @@
 	return connector.BatchAccepted, nil
 }
 
+// opening is what is known of a job when this host begins to own it.
+type opening struct {
+	results []codec.BatchResult
+	chunks  int
+	// saved is what the store holds of unfinished texts, in so many chunks; progress is what the former owner held.
+	saved      []codec.ItemProgress
+	textChunks int
+	progress   []codec.ItemProgress
+}
+
 // open starts to run a job that this host owns.
-func (d *Duty) open(head batchkeeper.Head, job codec.BatchJob, results []codec.BatchResult, chunks int, progress []codec.ItemProgress) {
+func (d *Duty) open(head batchkeeper.Head, job codec.BatchJob, o opening) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.held[head.ID]; ok {
 		return
 	}
-	d.held[head.ID] = &holding{head: head, job: job, chunks: chunks, changed: make(chan struct{})}
+	d.held[head.ID] = &holding{head: head, job: job, chunks: o.chunks, texts: o.textChunks, changed: make(chan struct{})}
 	delete(d.owners, head.ID)
 	delete(d.chains, head.ID)
 	now := time.Now()
-	d.perform(d.decision.Handle(now, JobOpened{Job: job, SubmittedAt: head.SubmittedAt, Results: results, Progress: progress}))
+	d.perform(d.decision.Handle(now, JobOpened{
+		Job: job, SubmittedAt: head.SubmittedAt, Results: o.results, Progress: o.progress, Saved: o.saved,
+	}))
 	d.perform(d.decision.Handle(now, d.routes()))
 	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
-		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(results)).
-		Int("progress", len(progress)).Time("submitted_at", head.SubmittedAt).Send()
+		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(o.results)).
+		Int("saved", len(o.saved)).Int("progress", len(o.progress)).Time("submitted_at", head.SubmittedAt).Send()
 }
 
 func (d *Duty) isHeld(id identifier.BatchID) bool {
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -21,6 +21,7 @@
 	kindHeads   = "batchheads/"
 	kindParts   = "batchparts/"
 	kindResults = "batchresults/"
+	kindTexts   = "batchtexts/"
 )
 
 const (
@@ -230,11 +231,78 @@
 	}
 }
 
+// AppendTexts creates the next chunk of a job's unfinished texts; its errors are those of Append.
+func (k *Keeper) AppendTexts(ctx context.Context, id identifier.BatchID, number int, chunk codec.TextChunk) error {
+	value, err := json.Marshal(chunk)
+	if err != nil {
+		return annotator.Wrap("encode texts", "self", err)
+	}
+	_, err = k.store.Put(ctx, textKey(id, number), 0, value)
+	conflict, ok := connector.AsConflict(err)
+	if !ok {
+		return err
+	}
+	current := conflict.Current
+	if current.Version == 0 {
+		if current, err = k.store.Get(ctx, textKey(id, number)); err != nil {
+			return err
+		}
+	}
+	var stored codec.TextChunk
+	if err := json.Unmarshal(current.Value, &stored); err != nil {
+		return annotator.Wrap("decode texts", annotator.Peer(current.Key), err)
+	}
+	if stored.Writer == chunk.Writer {
+		return nil
+	}
+	return &TakenError{Chunk: codec.BatchChunk{Writer: stored.Writer}}
+}
+
+// Texts returns what is saved of a job's unfinished texts and the number of its chunks.
+func (k *Keeper) Texts(ctx context.Context, id identifier.BatchID) ([]codec.ItemProgress, int, error) {
+	held := make(map[identifier.ItemID]*codec.ItemProgress)
+	var order []identifier.ItemID
+	for number := 0; ; number++ {
+		object, err := k.store.Get(ctx, textKey(id, number))
+		if errors.Is(err, connector.ErrNotFound) {
+			progress := make([]codec.ItemProgress, 0, len(order))
+			for _, item := range order {
+				progress = append(progress, *held[item])
+			}
+			return progress, number, nil
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		var chunk codec.TextChunk
+		if err := json.Unmarshal(object.Value, &chunk); err != nil {
+			return nil, 0, annotator.Wrap("decode texts", annotator.Peer(object.Key), err)
+		}
+		for _, text := range chunk.Texts {
+			progress, ok := held[text.Item]
+			if !ok {
+				progress = &codec.ItemProgress{Item: text.Item}
+				held[text.Item] = progress
+				order = append(order, text.Item)
+			}
+			continueText(progress, text)
+		}
+	}
+}
+
+func continueText(progress *codec.ItemProgress, text codec.SavedText) {
+	kept := min(max(text.After, 0), len(progress.Events))
+	progress.Events = append(progress.Events[:kept:kept], text.Events...)
+	progress.Versions = text.Versions
+	progress.Complete = text.Complete
+	progress.Score = text.Score
+}
+
 // NewWriter returns a name for one attempt to write a chunk.
 func NewWriter(host identifier.HostID) string { return string(host) + "#" + uuid.NewString() }
 
 // Remove deletes all objects of a job, its head first so that the job is gone as a whole.
-func (k *Keeper) Remove(ctx context.Context, head Head, chunks int) error {
+func (k *Keeper) Remove(ctx context.Context, head Head, chunks, texts int) error {
 	keys := []string{headKey(head.ID)}
 	for i := range head.Parts {
 		keys = append(keys, partKey(head.ID, i))
@@ -242,6 +310,9 @@
 	for i := range chunks {
 		keys = append(keys, chunkKey(head.ID, i))
 	}
+	for i := range texts {
+		keys = append(keys, textKey(head.ID, i))
+	}
 	for _, key := range keys {
 		if err := k.store.Remove(ctx, key); err != nil && !errors.Is(err, connector.ErrNotFound) {
 			return err
@@ -309,6 +380,10 @@
 	return fmt.Sprintf("%s%s.%05d", kindParts, id, number)
 }
 
+func textKey(id identifier.BatchID, number int) string {
+	return fmt.Sprintf("%s%s.%05d", kindTexts, id, number)
+}
+
 func chunkKey(id identifier.BatchID, number int) string {
 	return fmt.Sprintf("%s%s.%05d", kindResults, id, number)
 }
--- a/service/batchkeeper/batchkeeper_test.go
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -92,10 +92,34 @@
 	stored, _, err := k.Create(t.Context(), newJob(5, 300<<10), head("a"))
 	require.NoError(t, err)
 	require.NoError(t, k.Append(t.Context(), "job-1", 0, codec.BatchChunk{Writer: "w"}))
-	require.NoError(t, k.Remove(t.Context(), stored, 1))
-	for _, kind := range []string{"batchheads/", "batchparts/", "batchresults/"} {
+	require.NoError(t, k.AppendTexts(t.Context(), "job-1", 0, codec.TextChunk{Writer: "w"}))
+	require.NoError(t, k.Remove(t.Context(), stored, 1, 1))
+	for _, kind := range []string{"batchheads/", "batchparts/", "batchresults/", "batchtexts/"} {
 		list, err := store.List(t.Context(), kind)
 		require.NoError(t, err)
 		require.Empty(t, list.Objects, kind)
 	}
 }
+
+// Guards against texts that are joined from different lineages: a later chunk replaces what it says is void, and a host
+// that does not hold the chain's state cannot add to it.
+func TestTextsContinueTheChain(t *testing.T) {
+	k := batchkeeper.New(storekeeper.New())
+	write := func(number int, writer string, texts ...codec.SavedText) error {
+		return k.AppendTexts(t.Context(), "job-1", number, codec.TextChunk{Writer: writer, Texts: texts})
+	}
+	require.NoError(t, write(0, "a", codec.SavedText{Item: "1", Events: []string{"x", "y"}, Versions: []identifier.WeightVersion{2}}))
+	require.NoError(t, write(0, "a"), "a repeat of the own write")
+	require.NoError(t, write(1, "a", codec.SavedText{Item: "1", After: 2, Events: []string{"z"}, Versions: []identifier.WeightVersion{2, 3}},
+		codec.SavedText{Item: "2", Events: []string{"p", "q"}, Versions: []identifier.WeightVersion{3}}))
+	var taken *batchkeeper.TakenError
+	require.ErrorAs(t, write(1, "b"), &taken)
+	require.NoError(t, write(2, "c", codec.SavedText{Item: "2", Events: []string{"r"}, Versions: []identifier.WeightVersion{4}, Complete: true, Score: "s"}))
+	progress, chunks, err := k.Texts(t.Context(), "job-1")
+	require.NoError(t, err)
+	require.Equal(t, 3, chunks)
+	require.Equal(t, []codec.ItemProgress{
+		{Item: "1", Events: []string{"x", "y", "z"}, Versions: []identifier.WeightVersion{2, 3}},
+		{Item: "2", Events: []string{"r"}, Versions: []identifier.WeightVersion{4}, Complete: true, Score: "s"},
+	}, progress)
+}
