batcher: ask the owner before adopting its job, fence the list, and drop a job whose head names another owner

A host that has lost a job shows its own, shorter list until it learns of it, up to several seconds; a write of the former owner that lands after the new one has read the list is shown only by readers of the store. Change: the adopter asks the owner at its address first; it adds an empty chunk, so that late writes find their position taken; a host that reads a head with another owner drops the job.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -353,6 +353,8 @@
 
 // BatchHead Value of the store object batchheads/<job>; it exists once the whole job is stored.
 type BatchHead struct {
+	// Address Peer address of the owner.
+	Address     string      `json:"address,omitempty"`
 	Ended       bool        `json:"ended,omitempty"`
 	Incarnation Incarnation `json:"incarnation"`
 	Model       ModelName   `json:"model,omitempty"`
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -144,11 +144,11 @@
 	if err != nil {
 		return err
 	}
-	if head.Ended || progress == nil && !d.shouldAdopt(head) {
+	if head.Ended || progress == nil && (!d.shouldAdopt(head) || d.ownerAnswers(ctx, head)) {
 		return nil
 	}
 	former := head.Owner
-	head.Owner, head.Incarnation = d.config.Self.ID, d.config.Incarnation
+	head.Owner, head.Address, head.Incarnation = d.config.Self.ID, d.config.Self.Address, d.config.Incarnation
 	head, err = d.config.Keeper.Replace(ctx, head)
 	if err != nil {
 		return err
@@ -158,7 +158,7 @@
 		return err
 	}
 	o := opening{progress: progress}
-	if o.results, o.chunks, err = d.readChain(ctx, id); err != nil {
+	if o.results, o.chunks, err = d.fenceChain(ctx, id); err != nil {
 		return err
 	}
 	if o.saved, o.textChunks, err = d.config.Keeper.Texts(ctx, id); err != nil {
@@ -169,6 +169,37 @@
 	return nil
 }
 
+// ownerAnswers asks the owner of a job itself, since the hosts' view of each other may be wrong under load: two owners
+// would show lists of different length until one of them learns of the other.
+func (d *Duty) ownerAnswers(ctx context.Context, head batchkeeper.Head) bool {
+	if head.Owner == d.config.Self.ID || head.Address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var reply codec.ReadReply
+	owner := codec.Member{ID: head.Owner, Address: head.Address}
+	err := d.config.Peers.Call(ctx, owner, methodRead, codec.ReadBatch{From: d.config.Self.ID, Job: head.ID}, &reply)
+	return err == nil && reply.Owner
+}
+
+// fenceChain reads a job's list and adds an empty chunk to it, so that a write of the former owner that is still on its
+// way finds its position taken and cannot lengthen the list unseen.
+func (d *Duty) fenceChain(ctx context.Context, id identifier.BatchID) ([]codec.BatchResult, int, error) {
+	fence := codec.BatchChunk{Writer: batchkeeper.NewWriter(d.config.Self.ID), Results: []codec.BatchResult{}}
+	for {
+		results, chunks, err := d.readChain(ctx, id)
+		if err != nil {
+			return nil, 0, err
+		}
+		err = d.config.Keeper.Append(ctx, id, chunks, fence)
+		if _, taken := asTaken(err); taken {
+			continue
+		}
+		return results, chunks + 1, err
+	}
+}
+
 // HandOver passes the open jobs of this host to others, as part of a planned stop.
 func (d *Duty) HandOver(ctx context.Context) error {
 	d.mu.Lock()
--- a/service/batcher/duty_test.go
+++ b/service/batcher/duty_test.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	handlers map[identifier.HostID]map[string]connector.Handler
 	down     map[identifier.HostID]bool
+	// hidden is a host that the others wrongly take for dead.
+	hidden identifier.HostID
 }
 
 type port struct {
@@ -35,14 +37,14 @@
 	id   identifier.HostID
 }
 
-func (p port) Self() codec.Member { return codec.Member{ID: p.id} }
+func (p port) Self() codec.Member { return codec.Member{ID: p.id, Address: string(p.id)} }
 
 func (p port) Live() []codec.Member {
 	p.mesh.mu.Lock()
 	defer p.mesh.mu.Unlock()
 	var live []codec.Member
 	for _, id := range []identifier.HostID{"a", "b", "c"} {
-		if _, ok := p.mesh.handlers[id]; ok && !p.mesh.down[id] {
+		if _, ok := p.mesh.handlers[id]; ok && !p.mesh.down[id] && (p.mesh.hidden != id || p.id == id) {
 			live = append(live, codec.Member{ID: id})
 		}
 	}
@@ -302,3 +304,67 @@
 	f.store.SetFaults(storekeeper.Faults{})
 	f.awaitResults(a, 3)
 }
+
+// Guards against two owners: a host that wrongly takes the owner for dead asks it before it adopts the job.
+func TestLivingOwnerKeepsItsJob(t *testing.T) {
+	f := newFleet(t, 50*time.Millisecond)
+	hosts := map[identifier.HostID]*host{"a": f.add("a"), "b": f.add("b")}
+	_, err := hosts["a"].Submit(t.Context(), submission(20))
+	require.NoError(t, err)
+	keeper := batchkeeper.New(f.store)
+	head, err := keeper.Head(t.Context(), jobID)
+	require.NoError(t, err)
+	f.mesh.mu.Lock()
+	f.mesh.hidden = head.Owner
+	f.mesh.mu.Unlock()
+	time.Sleep(400 * time.Millisecond)
+	after, err := keeper.Head(t.Context(), jobID)
+	require.NoError(t, err)
+	require.Equal(t, head.Owner, after.Owner)
+}
+
+// Guards against a list that grows by a write of the former owner after the new one has read it: readers of the store
+// would see results that the new owner does not show.
+func TestLateWriteOfTheFormerOwnerIsRefused(t *testing.T) {
+	f := newFleet(t, time.Hour)
+	a := f.add("a")
+	_, err := a.Submit(t.Context(), submission(2))
+	require.NoError(t, err)
+	a.stop()
+	b := f.add("b")
+	keeper := batchkeeper.New(f.store)
+	require.Eventually(t, func() bool {
+		head, err := keeper.Head(t.Context(), jobID)
+		return err == nil && head.Owner == "b"
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		_, err := keeper.Chunk(t.Context(), jobID, 0)
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	late := codec.BatchChunk{Writer: "a#late", Results: []codec.BatchResult{{Item: "i0-", State: codec.ResultStateDone}}}
+	var taken *batchkeeper.TakenError
+	require.ErrorAs(t, keeper.Append(t.Context(), jobID, 0, late), &taken)
+	require.Empty(t, results(t, b))
+}
+
+// Guards against a former owner that goes on showing its own list: when it is asked to end the job, the head tells it
+// that another host has taken over.
+func TestFormerOwnerLearnsOfItsLoss(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a := f.add("a")
+	_, err := a.Submit(t.Context(), submission(2))
+	require.NoError(t, err)
+	f.awaitResults(a, 2)
+	keeper := batchkeeper.New(f.store)
+	head, err := keeper.Head(t.Context(), jobID)
+	require.NoError(t, err)
+	head.Owner = "c"
+	_, err = keeper.Replace(t.Context(), head)
+	require.NoError(t, err)
+	late := codec.BatchChunk{Writer: "c#1", Results: []codec.BatchResult{{Item: "x", State: codec.ResultStateDone}}}
+	for number := 0; keeper.Append(t.Context(), jobID, number, late) != nil; number++ {
+		require.Less(t, number, 10)
+	}
+	require.NoError(t, a.End(t.Context(), jobID))
+	require.Len(t, results(t, a), 3)
+}
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -68,7 +68,7 @@
 	// A caller that leaves must not end the write halfway: the job may exist then without an owner that knows it.
 	ctx = context.WithoutCancel(ctx)
 	head, created, err := d.config.Keeper.Create(ctx, job, codec.BatchHead{
-		Owner: d.config.Self.ID, Incarnation: d.config.Incarnation, Model: job.Model, Total: len(job.Items), SubmittedAt: submittedAt,
+		Owner: d.config.Self.ID, Address: d.config.Self.Address, Incarnation: d.config.Incarnation, Model: job.Model, Total: len(job.Items), SubmittedAt: submittedAt,
 	})
 	switch {
 	case errors.Is(err, connector.ErrUncertain):
@@ -229,8 +229,14 @@
 	return d.config.Keeper.Head(ctx, id)
 }
 
-// noteHead keeps a newer head; the end of a job that this host owns stops its items.
+// noteHead keeps a newer head; the end of a job that this host owns stops its items. A head that names another owner
+// shows that this host has lost the job, whose list may have grown elsewhere.
 func (d *Duty) noteHead(head batchkeeper.Head) {
+	if d.isHeld(head.ID) && !d.owns(head) {
+		d.config.Log.Warn(logger.JobLost).Str("request", string(head.ID)).Str("owner", string(head.Owner)).Send()
+		d.drop(head.ID, head)
+		return
+	}
 	d.mu.Lock()
 	h, held := d.held[head.ID]
 	if held {
