--- a/operator/commander/commander.go
+++ b/operator/commander/commander.go
@@ -60,7 +60,7 @@
 		Name:  "celerygapctl",
 		Usage: "edit the catalogue of celerygap and watch its effect",
 		Description: "Exit status: 0 done, 1 failed, 2 wrong command line, 3 invalid catalogue, 4 conflict with another edit.\n" +
-			"Catalogue files are YAML with the lists pools and entries; see docs/operating.md.",
+			"Catalogue files are YAML with the lists pools and entries; see docs/OPERATIONS.md.",
 		EnableShellCompletion: true,
 		Flags:                 globalFlags(),
 		OnUsageError:          onUsageError,
@@ -70,7 +70,7 @@
 			os.Exit(ExitUsage)
 		},
 		Commands: []*cli.Command{
-			validateCommand(), diffCommand(), applyCommand(), getCommand(), statusCommand(), historyCommand(),
+			validateCommand(), diffCommand(), applyCommand(), getCommand(), statusCommand(), historyCommand(), traceCommand(),
 		},
 	}
 }
