--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -27,6 +27,7 @@
 	StoreRecovered      Event = 2004
 	EditAccepted        Event = 2005
 	StoreRelayed        Event = 2007
+	StateFollowed       Event = 2008
 	EditConflict        Event = 2006
 	MemberJoined        Event = 3001
 	MemberSuspected     Event = 3002
@@ -90,6 +91,7 @@
 	{StoreUnavailable, "store unavailable", "The platform's store does not answer.", "Check the platform; edits and permits are refused meanwhile."},
 	{StoreRecovered, "store recovered", "The platform's store answers again.", "None."},
 	{StoreRelayed, "store reached through another host", "This host's own path to the store is broken.", "Check the host's network and the store's refusals."},
+	{StateFollowed, "state followed", "This host began or ceased to watch a kind of the store's objects itself.", "None if rare; often: the zone's watcher is slow or out of reach."},
 	{EditAccepted, "edit accepted", "A catalogue edit was accepted.", "None."},
 	{EditConflict, "edit conflict", "A catalogue edit lost against another one.", "The author reads the new revision and applies again."},
 	{MemberJoined, "member joined", "A host of the service was learned.", "None."},
--- a/service/spreader/duty.go
+++ b/service/spreader/duty.go
@@ -79,6 +79,8 @@
 	for {
 		role := d.role()
 		if role.Follow != following {
+			d.config.Log.Info(logger.StateFollowed).Str("kind", d.config.Follower.Prefix).Bool("follow", role.Follow).
+				Int("audience", len(role.Audience)).Send()
 			stopFollowing()
 			stopFollowing = d.follow(ctx, role.Follow)
 			following = role.Follow
