--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -268,22 +267,11 @@
 			return nil
 		}
 	}})
-	err := grouper.Supervise(ctx, grouper.Config{}, h.named(duties)...)
+	err := grouper.Supervise(ctx, grouper.Config{}, grouper.Named(duties, h.logFailure)...)
 	h.log.Info(logger.Stopped).Err(err).Send()
 	return err
 }
 
-// named adds the duty's name to its error and logs it.
-func (h *Host) named(duties []grouper.Duty) []grouper.Duty {
-	for i, duty := range duties {
-		duties[i].Run = func(ctx context.Context) error {
-			err := duty.Run(ctx)
-			if err == nil || errors.Is(err, context.Canceled) {
-				return nil
-			}
-			h.log.Error(logger.DutyFailed).Str("duty", duty.Name).Err(err).Send()
-			return annotator.Wrap(annotator.Step("duty "+duty.Name), "self", err)
-		}
-	}
-	return duties
+func (h *Host) logFailure(duty string, err error) {
+	h.log.Error(logger.DutyFailed).Str("duty", duty).Err(err).Send()
 }
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -3,14 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
@@ -18,6 +14,7 @@
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/elector"
 )
 
 const (
@@ -446,25 +443,13 @@
 }
 
 func (d *Duty) homeOf(key string, without ...identifier.HostID) codec.Member {
-	members := make(map[string]codec.Member)
-	var ids []string
-	for _, member := range d.config.Members.Live() {
-		if !slices.Contains(without, member.ID) {
-			members[string(member.ID)] = member
-			ids = append(ids, string(member.ID))
-		}
-	}
-	if len(ids) == 0 {
+	home, ok := elector.Choose(key, d.config.Members.Live(), without...)
+	if !ok {
 		return d.config.Members.Self()
 	}
-	return members[rendezvous.New(ids, xxhash.Sum64String).Lookup(key)]
+	return home
 }
 
 func (d *Duty) liveMember(id identifier.HostID) (codec.Member, bool) {
-	for _, member := range d.config.Members.Live() {
-		if member.ID == id {
-			return member, true
-		}
-	}
-	return codec.Member{}, false
+	return elector.Find(id, d.config.Members.Live())
 }
--- a/service/connector/store.go
+++ b/service/connector/store.go
@@ -71,3 +71,28 @@
 	// PutStatus replaces the status of an object and leaves its value as it is.
 	PutStatus(ctx context.Context, key string, status json.RawMessage) error
 }
+
+// StoreResult names the outcome of a call to the store, for counters.
+func StoreResult(err error) string {
+	_, conflict := AsConflict(err)
+	switch {
+	case err == nil:
+		return "ok"
+	case conflict:
+		return "conflict"
+	case errors.Is(err, ErrNotFound):
+		return "not_found"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	case errors.Is(err, ErrThrottled):
+		return "throttled"
+	case errors.Is(err, ErrUncertain):
+		return "uncertain"
+	case errors.Is(err, ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	default:
+		return "failed"
+	}
+}
--- /dev/null
+++ b/service/elector/elector_test.go
@@ -0,0 +1,42 @@
+package elector_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/elector"
+)
+
+// Guards against hosts that choose differently, and against keys that move although their host stays.
+func TestChoiceIsStable(t *testing.T) {
+	var hosts []codec.Member
+	for i := range 9 {
+		hosts = append(hosts, codec.Member{ID: identifier.HostID(fmt.Sprint("h", i))})
+	}
+	for i := range 50 {
+		key := fmt.Sprint("key", i)
+		chosen, ok := elector.Choose(key, hosts)
+		require.True(t, ok)
+		reversed := make([]codec.Member, 0, len(hosts))
+		for j := range hosts {
+			reversed = append(reversed, hosts[len(hosts)-1-j])
+		}
+		again, _ := elector.Choose(key, reversed)
+		require.Equal(t, chosen, again)
+		for _, other := range hosts {
+			if other.ID == chosen.ID {
+				continue
+			}
+			kept, _ := elector.Choose(key, hosts, other.ID)
+			require.Equal(t, chosen, kept, "the loss of %s moved the key", other.ID)
+		}
+	}
+	_, ok := elector.Choose("key", nil)
+	require.False(t, ok)
+	_, ok = elector.Find("absent", hosts)
+	require.False(t, ok)
+}
--- a/service/placer/standin.go
+++ b/service/placer/standin.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"celerygap.example/lib/annotator"
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
+	"celerygap.example/service/elector"
 	"celerygap.example/service/updater"
 )
 
@@ -37,18 +34,7 @@
 
 // candidate returns the live host that should hold the lease, leaving out some.
 func (d *Duty) candidate(without ...identifier.HostID) (codec.Member, bool) {
-	members := make(map[string]codec.Member)
-	var ids []string
-	for _, member := range d.config.Members.Live() {
-		if !slices.Contains(without, member.ID) {
-			members[string(member.ID)] = member
-			ids = append(ids, string(member.ID))
-		}
-	}
-	if len(ids) == 0 {
-		return codec.Member{}, false
-	}
-	return members[rendezvous.New(ids, xxhash.Sum64String).Lookup(leaseKey)], true
+	return elector.Choose(leaseKey, d.config.Members.Live(), without...)
 }
 
 // gone tells that a holder gives no more orders that count. A dead host may only be frozen and give an order when it
@@ -68,22 +54,13 @@
 	if !d.config.Fenced {
 		return false
 	}
-	member, live := d.member(identifier.HostID(host))
+	member, live := elector.Find(identifier.HostID(host), d.config.Members.Live())
 	if live {
 		return restartedSince(member, start)
 	}
 	return time.Since(d.startedAt) >= settleTime
 }
 
-func (d *Duty) member(id identifier.HostID) (codec.Member, bool) {
-	members := d.config.Members.Live()
-	i := slices.IndexFunc(members, func(member codec.Member) bool { return member.ID == id })
-	if i < 0 {
-		return codec.Member{}, false
-	}
-	return members[i], true
-}
-
 // restartedSince tells whether a member's process started after the one with the given start. An incarnation begins
 // with the start in milliseconds and grows by one with each refutation, far fewer than the milliseconds between two
 // starts.
--- a/service/spreader/spreader.go
+++ b/service/spreader/spreader.go
@@ -5,11 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"celerygap.example/lib/codec"
-	"celerygap.example/lib/identifier"
+	"celerygap.example/service/elector"
 )
 
 const (
@@ -47,18 +44,15 @@
 // Role returns the role among the live hosts. A host that has not heard from its zone's watcher follows the store itself.
 func (s *Spreader) Role(now time.Time, live []codec.Member) Role {
 	var zone []codec.Member
-	var ids []string
 	for _, member := range live {
 		if member.Zone == s.self.Zone {
 			zone = append(zone, member)
-			ids = append(ids, string(member.ID))
 		}
 	}
 	if len(zone) <= directHosts {
 		return Role{Follow: true}
 	}
-	watcher := identifier.HostID(rendezvous.New(ids, xxhash.Sum64String).Lookup(s.kind))
-	if watcher != s.self.ID {
+	if watcher, _ := elector.Choose(s.kind, zone); watcher.ID != s.self.ID {
 		return Role{Follow: now.Sub(s.heardAt) > coverTime}
 	}
 	return Role{Follow: true, Audience: slices.DeleteFunc(zone, func(member codec.Member) bool { return member.ID == s.self.ID })}
--- a/service/storeconnector/classify.go
+++ b/service/storeconnector/classify.go
@@ -99,25 +99,8 @@
 }
 
 func resultName(err error) string {
-	_, conflict := connector.AsConflict(err)
-	switch {
-	case err == nil:
-		return "ok"
-	case conflict:
-		return "conflict"
-	case errors.Is(err, errNotModified):
+	if errors.Is(err, errNotModified) {
 		return "not_modified"
-	case errors.Is(err, connector.ErrNotFound):
-		return "not_found"
-	case errors.Is(err, connector.ErrThrottled):
-		return "throttled"
-	case errors.Is(err, connector.ErrUncertain):
-		return "uncertain"
-	case errors.Is(err, connector.ErrUnavailable):
-		return "unavailable"
-	case errors.Is(err, context.Canceled):
-		return "cancelled"
-	default:
-		return "failed"
 	}
+	return connector.StoreResult(err)
 }
