assembler: a planned stop waits for requests whose header is still being read

Change: the callers' server is shut down in order, which waits for active connections, before the count is looked at.

--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -119,7 +119,7 @@
 	timer     *timer.Service
 	listeners listeners
 	front     Front
-	servers   []*http.Server
+	callers   *http.Server
 
 	catalogue  *cataloguer.Cataloguer
 	matcher    atomic.Pointer[matcher.Matcher]
@@ -214,6 +214,7 @@
 	h.front = h.config.NewFront(Parts{
 		Match: h.match, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
 	})
+	h.callers = newServer(h.front.Handler())
 }
 
 // ready tells whether the host knows the configuration and the upstreams.
--- /dev/null
+++ b/service/assembler/assembler_test.go
@@ -0,0 +1,93 @@
+package assembler_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/logger"
+	"celerygap.example/lib/meter"
+	"celerygap.example/service/assembler"
+	"celerygap.example/service/storekeeper"
+)
+
+// slowFront answers after a while and counts no request as being served, as in the moment between the arrival of a
+// request's header and its handler.
+type slowFront struct {
+	begun chan struct{}
+}
+
+func (f *slowFront) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.begun <- struct{}{}
+		time.Sleep(500 * time.Millisecond)
+		if r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "whole")
+		}
+	})
+}
+
+func (f *slowFront) ReadyHandler() http.Handler { return http.NotFoundHandler() }
+func (f *slowFront) Drain()                     {}
+func (f *slowFront) InFlight() int              { return 0 }
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// Guards against a planned stop that cuts a request whose header was read but whose handler had not begun when the host
+// looked for running requests.
+func TestStopWaitsForRequestsThatAreBeingRead(t *testing.T) {
+	meters, err := meter.New()
+	require.NoError(t, err)
+	front := &slowFront{begun: make(chan struct{}, 1)}
+	address := freeAddress(t)
+	host, err := assembler.New(assembler.Config{
+		Settings: assembler.Settings{
+			HostID: "a", Zone: "z", Region: "r", Listen: address, ReadyListen: freeAddress(t), PeerListen: freeAddress(t),
+			DrainWait: 50 * time.Millisecond, StopGrace: 5 * time.Second, LeaseDuration: 3 * time.Second,
+		},
+		Log: logger.Discard(), Meter: meters, Store: storekeeper.New(),
+		Platform: assembler.Platform{
+			ConfigurationKind: "config/", UpstreamKind: "servers/", VersionKind: "versions/",
+			Upstreams: func(map[string]codec.Object) ([]codec.ListedHost, []error) { return nil, nil },
+			Version: func(codec.Object) (identifier.ModelName, identifier.WeightVersion, error) {
+				return "", 0, nil
+			},
+		},
+		NewFront: func(assembler.Parts) assembler.Front { return front },
+	})
+	require.NoError(t, err)
+	stop, cancel := context.WithCancel(t.Context())
+	group := grouper.NewGroup(-1)
+	group.Go(func() { _ = host.Run(stop) })
+	var text []byte
+	var failed error
+	client := grouper.NewGroup(-1)
+	client.Go(func() {
+		var response *http.Response
+		require.Eventually(t, func() bool {
+			response, failed = http.Get("http://" + address + "/")
+			return failed == nil
+		}, 5*time.Second, 10*time.Millisecond)
+		defer func() { _ = response.Body.Close() }()
+		text, failed = io.ReadAll(response.Body)
+	})
+	<-front.begun
+	cancel()
+	client.Wait()
+	require.NoError(t, failed)
+	require.Equal(t, "whole", string(text))
+	group.Wait()
+}
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -87,19 +87,21 @@
 		{Name: "placer", Run: h.placer.Run},
 		{Name: "configuration", Run: h.configuration.Run},
 		{Name: "upstreams", Run: h.upstreams.Run},
-		h.serve("callers", h.listeners.caller, h.front.Handler()),
-		h.serve("readiness", h.listeners.ready, h.front.ReadyHandler()),
+		serve("callers", h.listeners.caller, h.callers),
+		serve("readiness", h.listeners.ready, newServer(h.front.ReadyHandler())),
 	}
 	if h.listeners.metrics != nil {
-		duties = append(duties, h.serve("metrics", h.listeners.metrics, h.config.Meter.Handler()))
+		duties = append(duties, serve("metrics", h.listeners.metrics, newServer(h.config.Meter.Handler())))
 	}
 	return append(duties, h.lister.Duties()...)
 }
 
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // serve returns the duty of one HTTP server.
-func (h *Host) serve(name string, listener net.Listener, handler http.Handler) grouper.Duty {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	h.servers = append(h.servers, server)
+func serve(name string, listener net.Listener, server *http.Server) grouper.Duty {
 	return grouper.Duty{Name: "http " + name, Run: func(ctx context.Context) error {
 		release := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer release()
@@ -192,9 +194,8 @@
 	h.step("leave", h.prober.Leave(leaveCtx))
 	cancelLeave()
 	h.sleep(drainCtx, time.Until(balanced))
-	for _, server := range h.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	// Shutdown also waits for a request whose header is still being read; the count of running requests misses it.
+	h.step("finish connections", h.callers.Shutdown(drainCtx))
 	h.step("finish requests", h.finishRequests(drainCtx))
 	return nil
 }
