--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -1,9 +1,7 @@
 package batcher
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"celerygap.example/lib/asserter"
@@ -15,26 +13,10 @@
 const (
 	// defaultMaxAttempts bounds the failing runs of an item whose route sets no bound.
 	defaultMaxAttempts = 3
-	// flushDelay gathers results for one write: each call to the store is paid for, and trainers read twice a second.
-	flushDelay = 250 * time.Millisecond
-	// firstEventLimit is how long a run may take to its first event: an engine with a queue or one that changes its
-	// weights needs up to about a second.
-	firstEventLimit = 2 * time.Second
-	// shortestStall and stallGaps bound the pause between two events: a pause of so many typical gaps, and no less than
-	// the time that a change of weights takes.
-	shortestStall = 1500 * time.Millisecond
-	stallGaps     = 12
 	// retryPause keeps an item back after a failed run, so that a failure of all engines is not met by a flood.
 	retryPause = 100 * time.Millisecond
 	// rewardPause is the wait before a reward call is repeated.
 	rewardPause = 200 * time.Millisecond
-	// moveSlowness is how many times slower than a free engine an engine must be before its runs move: a move reads the
-	// prompt and the text again.
-	moveSlowness = 1.25
-	// maxMoves bounds the moves of one tick, so that the free engine's own speed shows before more follow.
-	maxMoves = 4
-	// maxItemMoves bounds the moves of one item.
-	maxItemMoves = 3
 	// loadCost is the cost of a full engine against an idle one, in parts of the speed of a typical engine. Engines batch
 	// their requests, so a busy one is hardly slower than an idle one.
 	loadCost = 0.2
@@ -320,175 +302,6 @@
 	b.save(now)
 }
 
-// stopStalled ends runs whose engine is silent; they go on elsewhere.
-func (b *Batcher) stopStalled(now time.Time) {
-	stall := max(shortestStall, stallGaps*b.typicalGap(now))
-	for _, r := range b.runs {
-		limit := stall
-		if !r.begun {
-			limit = max(firstEventLimit, stall)
-		}
-		if r.stopped == "" && now.Sub(r.eventAt) > limit {
-			r.engine.pause(now, failedPause)
-			b.stop(r, StopStalled)
-		}
-	}
-}
-
-// moveFromSlow moves runs from engines that are much slower than a free one. It answers the load in which a few engines
-// run several times slower than the others and hold up their groups.
-func (b *Batcher) moveFromSlow(now time.Time) {
-	typical := b.typicalGap(now)
-	moves := 0
-	for _, id := range b.order {
-		for _, r := range b.runsOf(b.engines[id]) {
-			if moves == maxMoves {
-				return
-			}
-			if r.stopped == "" && r.begun && r.item.moves < maxItemMoves && b.hasFasterPlace(now, r, typical, moves) {
-				r.item.moves++
-				b.stop(r, StopSlowEngine)
-				moves++
-			}
-		}
-	}
-}
-
-func (b *Batcher) runsOf(e *engine) []*run {
-	var found []*run
-	for _, r := range b.runs {
-		if r.engine == e {
-			found = append(found, r)
-		}
-	}
-	slices.SortFunc(found, func(x, y *run) int { return cmp.Compare(x.id, y.id) })
-	return found
-}
-
-func (b *Batcher) hasFasterPlace(now time.Time, r *run, typical time.Duration, moves int) bool {
-	if r.job.waiting() {
-		return false
-	}
-	own := r.engine.slowness(now, typical)
-	for _, id := range b.order {
-		e := b.engines[id]
-		if e != r.engine && e.serves(now, r.job) && e.free() > moves && own > moveSlowness*e.slowness(now, typical) {
-			return true
-		}
-	}
-	return false
-}
-
-// waiting tells whether an item of the job waits for an engine.
-func (j *job) waiting() bool {
-	return slices.ContainsFunc(j.items, func(it *item) bool { return it.state == itemWaiting })
-}
-
-func (b *Batcher) appended(id identifier.BatchID) {
-	j, ok := b.jobs[id]
-	if !ok {
-		return
-	}
-	j.results = append(j.results, j.pending[:j.inAppend]...)
-	j.pending = slices.Clone(j.pending[j.inAppend:])
-	j.inAppend = 0
-	j.checkList()
-	b.emit(Changed{Job: id})
-}
-
-// checkList asserts that no item stands twice in the list of results.
-func (j *job) checkList() {
-	listed := make(map[identifier.ItemID]struct{}, len(j.results))
-	for _, result := range j.results {
-		_, twice := listed[result.Item]
-		asserter.Check(asserter.ItemListedOnce, !twice, "job %s: item %s stands twice", j.job.ID, result.Item)
-		listed[result.Item] = struct{}{}
-	}
-}
-
-// supersede takes over the store's list; items that are listed there are finished, whatever was pending for them.
-func (b *Batcher) supersede(e Superseded) {
-	j, ok := b.jobs[e.Job]
-	if !ok {
-		return
-	}
-	j.results = e.Results
-	j.inAppend = 0
-	listed := make(map[identifier.ItemID]struct{}, len(j.results))
-	for _, result := range j.results {
-		listed[result.Item] = struct{}{}
-	}
-	j.pending = slices.DeleteFunc(j.pending, func(result codec.BatchResult) bool {
-		_, ok := listed[result.Item]
-		return ok
-	})
-	for _, it := range j.items {
-		if _, ok := listed[it.spec.ID]; ok && it.run != nil {
-			b.stop(it.run, StopJobEnded)
-		}
-	}
-	j.markListed()
-	b.emit(Changed{Job: e.Job})
-}
-
-// flush writes the decided results of each job, gathered for a moment unless nothing else is to come.
-func (b *Batcher) flush(now time.Time) {
-	for id, j := range b.jobs {
-		if j.inAppend > 0 || len(j.pending) == 0 || j.ended {
-			continue
-		}
-		if now.Sub(j.pendingAt) < flushDelay && j.unfinished() > 0 {
-			continue
-		}
-		j.inAppend = len(j.pending)
-		j.pendingAt = now
-		b.emit(Append{Job: id, Results: slices.Clone(j.pending)})
-	}
-}
-
-func joinEvents(events []string) string { return strings.Join(events, "\n") }
-
-// Page returns results of a job from a position on; known is false for a job that this host does not hold.
-func (b *Batcher) Page(id identifier.BatchID, after int, limit identifier.Bytes) (page codec.BatchPage, ended, known bool) {
-	j, ok := b.jobs[id]
-	if !ok {
-		return codec.BatchPage{}, false, false
-	}
-	return pageOf(j.results, len(j.items), after, limit), j.ended, true
-}
-
-// pageOf returns the results from a position on, at least one if there is any, and about limit bytes at most.
-func pageOf(results []codec.BatchResult, total, after int, limit identifier.Bytes) codec.BatchPage {
-	page := codec.BatchPage{Total: total, Results: []codec.BatchResult{}, Next: after}
-	var size identifier.Bytes
-	for after >= 0 && page.Next < len(results) {
-		result := results[page.Next]
-		size += identifier.Bytes(len(result.Text)) + resultOverhead
-		if len(page.Results) > 0 && size > limit {
-			break
-		}
-		page.Results = append(page.Results, result)
-		page.Next++
-	}
-	return page
-}
-
-// resultOverhead is the size of a result without its text.
-const resultOverhead identifier.Bytes = 256
-
-// Body returns the body of an item of a job that has not ended.
-func (b *Batcher) Body(id identifier.BatchID, item identifier.ItemID) (body []byte, found, known bool) {
-	j, ok := b.jobs[id]
-	if !ok {
-		return nil, false, false
-	}
-	it, ok := j.byID[item]
-	if !ok || j.ended {
-		return nil, false, true
-	}
-	return it.spec.Body, true, true
-}
-
 // Progress returns what is held of the items of a job that the store does not list.
 func (b *Batcher) Progress(id identifier.BatchID) []codec.ItemProgress {
 	j, ok := b.jobs[id]
