--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -55,7 +55,7 @@
 	b.out = nil
 	switch e := event.(type) {
 	case JobOpened:
-		b.open(now, e)
+		b.open(e)
 	case JobEnded:
 		b.end(e.Job)
 	case JobDropped:
@@ -91,7 +91,7 @@
 
 // open adds a job. An item that an earlier job left unfinished may come again; what is held of its text is used if its
 // versions allow it.
-func (b *Batcher) open(now time.Time, event JobOpened) {
+func (b *Batcher) open(event JobOpened) {
 	if _, ok := b.jobs[event.Job.ID]; ok {
 		return
 	}
@@ -105,7 +105,6 @@
 			it.restore(*earlier)
 		}
 	}
-	_ = now
 }
 
 // earlierProgress returns the most that an ended job of the same model holds of an item's text.
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -51,11 +51,10 @@
 
 // run is one run of an item on an engine.
 type run struct {
-	id        RunID
-	job       *job
-	item      *item
-	engine    *engine
-	startedAt time.Time
+	id     RunID
+	job    *job
+	item   *item
+	engine *engine
 	// eventAt is when the last event came, or the run's start.
 	eventAt time.Time
 	begun   bool
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"celerygap.example/lib/codec"
-	"celerygap.example/lib/identifier"
 )
 
 // schedule starts waiting items on free engines and reward calls of complete texts. Jobs go by their due times and then
@@ -93,7 +92,7 @@
 		it.clear()
 	}
 	b.lastRun++
-	r := &run{id: b.lastRun, job: j, item: it, engine: e, startedAt: now, eventAt: now}
+	r := &run{id: b.lastRun, job: j, item: it, engine: e, eventAt: now}
 	b.runs[r.id] = r
 	it.run = r
 	it.state = itemRunning
@@ -101,11 +100,3 @@
 	b.prompts[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
 	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Item: it.spec, Engine: e.host, After: it.last()})
 }
-
-// Running returns the number of runs on an engine.
-func (b *Batcher) Running(id identifier.UpstreamID) int {
-	if e, ok := b.engines[id]; ok {
-		return e.inFlight
-	}
-	return 0
-}
--- a/service/follower/follower.go
+++ b/service/follower/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"celerygap.example/lib/codec"
@@ -55,8 +54,6 @@
 	listed   bool
 	outage   bool
 	backoff  time.Duration
-	// reached is when the store last answered, in Unix nanoseconds.
-	reached atomic.Int64
 }
 
 // New returns a follower; Run keeps it current.
@@ -142,7 +139,6 @@
 	}
 	f.outage = false
 	f.backoff = 0
-	f.reached.Store(time.Now().UnixNano())
 }
 
 func (f *Follower) sleep(ctx context.Context, wait time.Duration) {
