--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -13,6 +13,7 @@
 	UnknownEntry       Reason = "unknown_entry"
 	InvalidRequest     Reason = "invalid_request"
 	BodyTooLarge       Reason = "body_too_large"
+	HeaderTooLarge     Reason = "header_too_large"
 	RateLimited        Reason = "rate_limited"
 	QueueFull          Reason = "queue_full"
 	DeadlineTooShort   Reason = "deadline_too_short"
@@ -71,6 +72,7 @@
 	{UnknownEntry, http.StatusNotFound, "The catalogue has no entry of that name and kind."},
 	{InvalidRequest, http.StatusBadRequest, "The request is malformed; the detail names the field."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, "The body exceeds the entry's limit."},
+	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, "The header exceeds the configured limit."},
 	{RateLimited, http.StatusTooManyRequests, "The entry's request rate is used up."},
 	{QueueFull, http.StatusServiceUnavailable, "The entry's queue is full."},
 	{DeadlineTooShort, http.StatusServiceUnavailable, "The request cannot be finished before its deadline."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -36,6 +36,8 @@
 	// idleTimeout closes callers' connections without requests; it is longer than any time that the platform sets, since
 	// closing early would cut a request that is on its way.
 	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes bounds what is read of a header before the configured limit is looked at.
+	maxHeaderBytes = 64 << 10
 	// idlePoll is the time between two looks at whether all requests have ended.
 	idlePoll = 20 * time.Millisecond
 )
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -97,7 +97,7 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // serve returns the duty of one HTTP server.
