batcher: tell all hosts who owns a job

Change: the owner announces itself when it opens a job; a host that misses it asks the store as before.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -340,6 +340,14 @@
 	}
 }
 
+// AnnounceBatch Tells a host who owns a job, so that it need not ask the store; version is that of the head's object.
+type AnnounceBatch struct {
+	// Head Value of the store object batchheads/<job>; it exists once the whole job is stored.
+	Head    BatchHead `json:"head"`
+	Job     BatchID   `json:"job"`
+	Version int64     `json:"version"`
+}
+
 // AttemptID defines model for AttemptID.
 type AttemptID = identifier.AttemptID
 
--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -117,6 +117,7 @@
 	config.Peers.Handle(methodRead, d.serveRead)
 	config.Peers.Handle(methodBody, d.serveBody)
 	config.Peers.Handle(methodEnd, d.serveEnd)
+	config.Peers.Handle(methodOwner, d.serveOwner)
 	return d
 }
 
--- a/service/batcher/duty_test.go
+++ b/service/batcher/duty_test.go
@@ -368,3 +368,18 @@
 	require.NoError(t, a.End(t.Context(), jobID))
 	require.Len(t, results(t, a), 3)
 }
+
+// Guards against a call to the store by each host that is asked for a job, and against an announcement that arrives late
+// and hides a newer owner.
+func TestHostsKnowTheOwnerWithoutTheStore(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a, b := f.add("a"), f.add("b")
+	_, err := a.Submit(t.Context(), submission(2))
+	require.NoError(t, err)
+	f.awaitResults(a, 2)
+	time.Sleep(100 * time.Millisecond)
+	f.store.SetFaults(storekeeper.Faults{Down: true})
+	require.Len(t, results(t, a), 2)
+	require.Len(t, results(t, b), 2)
+	f.store.SetFaults(storekeeper.Faults{})
+}
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -8,6 +8,7 @@
 
 	"celerygap.example/lib/annotator"
 	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
 	"celerygap.example/service/batchkeeper"
@@ -21,6 +22,7 @@
 	methodRead   = "batch_read"
 	methodBody   = "batch_body"
 	methodEnd    = "batch_end"
+	methodOwner  = "batch_owner"
 )
 
 const (
@@ -30,6 +32,9 @@
 	readSlack = 500 * time.Millisecond
 	// maxOwners bounds the remembered heads of other hosts' jobs.
 	maxOwners = 4096
+	// announceTimeout bounds the message about a job's owner to one host, maxAnnouncements how many are on their way.
+	announceTimeout  = 500 * time.Millisecond
+	maxAnnouncements = 8
 )
 
 func asTaken(err error) (*batchkeeper.TakenError, bool) {
@@ -116,6 +121,36 @@
 	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(o.results)).
 		Int("saved", len(o.saved)).Int("progress", len(o.progress)).Time("submitted_at", head.SubmittedAt).Send()
+	d.work.Go(func() { d.announce(head) })
+}
+
+// announce tells the live hosts who owns a job: its results are read at all of them, and each would ask the store once.
+func (d *Duty) announce(head batchkeeper.Head) {
+	calls := grouper.NewGroup(maxAnnouncements)
+	for _, member := range d.config.Members.Live() {
+		if member.ID == d.config.Self.ID {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(d.base, announceTimeout)
+			defer cancel()
+			// A host that misses it asks the store.
+			_ = d.config.Peers.Call(ctx, member, methodOwner, codec.AnnounceBatch{Job: head.ID, Version: head.Version, Head: head.BatchHead}, nil)
+		})
+	}
+	calls.Wait()
+}
+
+func (d *Duty) serveOwner(_ context.Context, params json.RawMessage) (any, error) {
+	var request codec.AnnounceBatch
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode batch owner", "peer", err)
+	}
+	head := batchkeeper.Head{BatchHead: request.Head, ID: request.Job, Version: request.Version}
+	if !d.isHeld(head.ID) {
+		d.remember(head)
+	}
+	return struct{}{}, nil
 }
 
 func (d *Duty) isHeld(id identifier.BatchID) bool {
@@ -131,6 +166,9 @@
 	if len(d.owners) >= maxOwners {
 		clear(d.owners)
 	}
+	if known, ok := d.owners[head.ID]; ok && known.Version > head.Version {
+		return
+	}
 	d.owners[head.ID] = head
 }
 
