placer: somebody goes on trying for the lease in an outage of the store

Change: a host that has passed the lease on refuses to stand in, so that the one that asked goes on trying; it leaves the lease alone for three seconds.

--- a/service/placer/standin.go
+++ b/service/placer/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,8 @@
 	passAfter = 2
 	// standInTime is how long the other host stands in; it keeps the lease after that if it holds it.
 	standInTime = 6 * time.Second
+	// passedTime is how long the host that passed the lease on leaves it alone.
+	passedTime = 3 * time.Second
 	// settleTime is how long after its start a host takes nobody for dead, because it does not know the others yet.
 	settleTime  = 4 * time.Second
 	standInCall = 500 * time.Millisecond
@@ -32,6 +35,8 @@
 	restartGap = 200 * time.Millisecond
 )
 
+var errPassedOn = errors.New("this host has passed the lease on itself")
+
 // candidate returns the live host that should hold the lease, leaving out some.
 func (d *Duty) candidate(without ...identifier.HostID) (codec.Member, bool) {
 	return elector.Choose(leaseKey, d.config.Members.Live(), without...)
@@ -106,7 +111,7 @@
 	// No order leaves under the lease from here on; those on their way carry its fencing number.
 	fencing := d.lease.Grant().Fencing
 	d.mu.Lock()
-	d.passedUntil = time.Now().Add(standInTime)
+	d.passedUntil = time.Now().Add(passedTime)
 	d.standInUntil = time.Time{}
 	d.mu.Unlock()
 	d.calls.Go(func() { d.passOn(ctx, next, fencing) })
@@ -135,6 +140,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if time.Now().Before(d.passedUntil) {
+		// This host cannot reach the store either. In an outage for all, somebody has to go on trying.
+		return nil, errPassedOn
+	}
 	d.standInUntil = time.Now().Add(standInTime)
 	if request.Yielded > 0 {
 		d.yielded = request.Yielded
