--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1109,13 +1109,16 @@
 	Yielded Fencing `json:"yielded,omitempty"`
 }
 
-// StatePush The state of one kind of objects; objects holds those that the receiver lacks, keys names all.
+// StatePush The state of one kind of objects; objects holds those that the receiver lacks, keys names all, unless same_keys tells that no object came or went since the receiver's revision.
 type StatePush struct {
+	// Base The receiver's revision that the sender knows of.
+	Base     int64    `json:"base,omitempty"`
 	From     HostID   `json:"from"`
-	Keys     []string `json:"keys"`
+	Keys     []string `json:"keys,omitempty"`
 	Kind     string   `json:"kind"`
 	Objects  []Object `json:"objects,omitempty"`
 	Revision int64    `json:"revision"`
+	SameKeys bool     `json:"same_keys,omitempty"`
 }
 
 // StateReply defines model for StateReply.
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -94,7 +94,7 @@
 	ConfigurationKind, UpstreamKind, VersionKind string
 	ConfigurationKey                             string
 	Catalogue                                    func(codec.Object) (*codec.Catalogue, error)
-	Upstreams                                    func(map[string]codec.Object) (hosts []codec.ListedHost, unreadable []error)
+	Upstream                                     func(codec.Object) (codec.ListedHost, error)
 	Version                                      func(codec.Object) (identifier.ModelName, identifier.WeightVersion, error)
 	MakeReward                                   func(codec.RewardCall) connector.PlainRequest
 	Score                                        func(connector.PlainResponse) string
@@ -134,6 +134,8 @@
 
 	configuration *spreader.Duty
 	upstreams     *spreader.Duty
+	// decoded keeps the decoded entries of upstreams, so that a change of one of thousands costs the decoding of one.
+	decoded map[string]decodedEntry
 }
 
 type listeners struct {
--- a/service/assembler/assembler_test.go
+++ b/service/assembler/assembler_test.go
@@ -61,7 +61,7 @@
 		Log: logger.Discard(), Meter: meters, Store: storekeeper.New(),
 		Platform: assembler.Platform{
 			ConfigurationKind: "config/", UpstreamKind: "servers/", VersionKind: "versions/",
-			Upstreams: func(map[string]codec.Object) ([]codec.ListedHost, []error) { return nil, nil },
+			Upstream: func(codec.Object) (codec.ListedHost, error) { return codec.ListedHost{}, nil },
 			Version: func(codec.Object) (identifier.ModelName, identifier.WeightVersion, error) {
 				return "", 0, nil
 			},
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -142,13 +142,33 @@
 }
 
 func (h *Host) applyUpstreams(update follower.Update) {
-	hosts, unreadable := h.config.Platform.Upstreams(update.Objects)
-	for _, err := range unreadable {
-		h.log.Warn(logger.UpstreamUnreadable).Err(err).Send()
+	next := make(map[string]decodedEntry, len(update.Objects))
+	hosts := make([]codec.ListedHost, 0, len(update.Objects))
+	for key, object := range update.Objects {
+		entry, ok := h.decoded[key]
+		if !ok || entry.version != object.Version {
+			host, err := h.config.Platform.Upstream(object)
+			entry = decodedEntry{version: object.Version, host: host, readable: err == nil}
+			if err != nil {
+				h.log.Warn(logger.UpstreamUnreadable).Err(err).Send()
+			}
+		}
+		next[key] = entry
+		if entry.readable {
+			hosts = append(hosts, entry.host)
+		}
 	}
+	h.decoded = next
 	h.lister.Accept(codec.HostList{Revision: update.Sequence, Hosts: hosts})
 }
 
+// decodedEntry is an upstream's entry at a version of its object.
+type decodedEntry struct {
+	version  int64
+	host     codec.ListedHost
+	readable bool
+}
+
 // publishUpstreams passes the usable upstreams on to the parts that place work on engines.
 func (h *Host) publishUpstreams(published lister.Publish) {
 	h.batcher.EnginesChanged(published.Listed)
--- a/service/spreader/spreader.go
+++ b/service/spreader/spreader.go
@@ -24,6 +24,8 @@
 	kind     string
 	revision int64
 	objects  map[string]codec.Object
+	// keysRevision is the revision at which an object last came or went.
+	keysRevision int64
 	// heardAt is when a watcher last confirmed a state that is not older than this host's.
 	heardAt time.Time
 }
@@ -64,6 +66,10 @@
 		return false
 	}
 	changed = s.revision == 0 || !maps.EqualFunc(s.objects, objects, func(a, b codec.Object) bool { return a.Version == b.Version })
+	if changed && !sameKeys(s.objects, objects) {
+		// An object whose hold has ended goes without a new revision, so the keys count as changed after it.
+		s.keysRevision = revision + 1
+	}
 	s.revision = revision
 	s.objects = objects
 	return changed
@@ -75,6 +81,9 @@
 	if push.Revision < s.revision {
 		return codec.StateReply{Revision: s.revision}, false
 	}
+	if push.SameKeys {
+		return s.receiveChanges(now, push)
+	}
 	next := make(map[string]codec.Object, len(push.Keys))
 	for _, object := range push.Objects {
 		next[object.Key] = object
@@ -94,10 +103,48 @@
 	return codec.StateReply{Revision: s.revision}, changed
 }
 
-// Push returns the state for a host that has a revision already.
+// receiveChanges takes over changes of objects that this host has. A host that has gone on by itself since the base
+// revision may lack or have others, so it asks for the whole state.
+func (s *Spreader) receiveChanges(now time.Time, push codec.StatePush) (reply codec.StateReply, changed bool) {
+	if s.revision != push.Base {
+		return codec.StateReply{}, false
+	}
+	s.heardAt = now
+	if len(push.Objects) == 0 {
+		s.revision = push.Revision
+		return codec.StateReply{Revision: s.revision}, false
+	}
+	next := maps.Clone(s.objects)
+	for _, object := range push.Objects {
+		next[object.Key] = object
+	}
+	changed = s.Apply(push.Revision, next)
+	return codec.StateReply{Revision: s.revision}, changed
+}
+
+func sameKeys(a, b map[string]codec.Object) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key := range a {
+		if _, ok := b[key]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Push returns the state for a host that has confirmed a revision; 0 stands for none. A confirmation without changes is
+// a few bytes, however many objects there are.
 func (s *Spreader) Push(known int64) codec.StatePush {
-	push := codec.StatePush{From: s.self.ID, Kind: s.kind, Revision: s.revision, Keys: slices.Sorted(maps.Keys(s.objects))}
-	for _, key := range push.Keys {
+	push := codec.StatePush{From: s.self.ID, Kind: s.kind, Revision: s.revision, Base: known, SameKeys: known > 0 && known >= s.keysRevision}
+	if !push.SameKeys {
+		push.Keys = slices.Sorted(maps.Keys(s.objects))
+	}
+	if push.SameKeys && known == s.revision {
+		return push
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
 		if object := s.objects[key]; object.Version > known {
 			push.Objects = append(push.Objects, object)
 		}
