updater, batcher: the time of day ends a grant and shows a pause, since the monotonic clock stands still in a suspension

Cause: found by reading; a machine that was suspended past its lease would have given orders until its next renewal failed, and a batcher would not have compared its jobs with their heads.

--- a/service/batcher/duty.go
+++ b/service/batcher/duty.go
@@ -143,7 +143,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticks:
-			if now.Sub(lastTick) > frozenAfter {
+			if pauseBetween(lastTick, now) > frozenAfter {
 				d.exact.Store(true)
 				d.askReview()
 			}
@@ -159,6 +159,12 @@
 	}
 }
 
+// pauseBetween is the time between two ticks, by the time of day if that is longer: the monotonic clock stands still while
+// a machine is suspended.
+func pauseBetween(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
+
 // tick is skipped while this host owns no job, so that an idle host does not work 20 times a second.
 func (d *Duty) tick() {
 	d.mu.Lock()
--- a/service/updater/lease.go
+++ b/service/updater/lease.go
@@ -140,7 +140,13 @@
 }
 
 // Valid tells whether orders may be sent at a time.
-func (g Grant) Valid(now time.Time) bool { return now.Before(g.Until) }
+func (g Grant) Valid(now time.Time) bool {
+	return stillValid(g.Until.Sub(now), g.Until.Round(0).Sub(now.Round(0)))
+}
+
+// stillValid takes the time that is left by the monotonic clock and by the time of day, since the first stands still while
+// a machine is suspended.
+func stillValid(steady, day time.Duration) bool { return steady > 0 && day > 0 }
 
 // Grant returns the current right to send orders; its Until is zero while the lease is not held or not wanted.
 func (l *Lease) Grant() Grant {
--- a/service/updater/lease_test.go
+++ b/service/updater/lease_test.go
@@ -150,3 +150,19 @@
 		})
 	})
 }
+
+// Guards against orders of a machine that was suspended past its lease: its monotonic clock has not moved.
+func TestSuspensionEndsTheGrant(t *testing.T) {
+	for _, c := range []struct {
+		steady, day time.Duration
+		want        bool
+	}{
+		{time.Second, time.Second, true},
+		{time.Second, -time.Minute, false},
+		{-time.Second, time.Minute, false},
+	} {
+		if got := stillValid(c.steady, c.day); got != c.want {
+			t.Errorf("stillValid(%s, %s) = %t", c.steady, c.day, got)
+		}
+	}
+}
