--- a/standin/inferrer/config.go
+++ b/standin/inferrer/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -91,6 +92,8 @@
 	WeightStore string
 	// PoisonMarker in a prompt crashes the engine.
 	PoisonMarker string
+	// Record, if set, gets a JSON line with the state of a run at each of its changes.
+	Record io.Writer
 	// RestartDelay is how long a crashed engine stays away when OnCrash is nil.
 	RestartDelay time.Duration
 	// OnCrash replaces the restart, for a process that exits.
--- a/standin/inferrer/engine.go
+++ b/standin/inferrer/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +67,9 @@
 		e.timer = timer.New(timer.Config{})
 		e.ownTimer = true
 	}
+	if config.Record != nil {
+		e.record.file = json.NewEncoder(config.Record)
+	}
 	e.reset()
 	server, err := listener.Open(listener.Config{
 		Address: config.Address, AddressFile: config.AddressFile, Handler: e.routes(),
@@ -106,7 +111,7 @@
 // ID returns the engine's id; without a configured one it is the address.
 func (e *Engine) ID() identifier.UpstreamID { return e.config.ID }
 
-// Run serves until the context ends, then finishes the running streams.
+// Run serves until the context ends, then finishes the running streams; it also returns a failure to write the record.
 // Generation continues during that drain, so its duties do not end with the context.
 func (e *Engine) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, e.Leave)
@@ -119,7 +124,10 @@
 	if e.ownTimer {
 		duties = append(duties, grouper.Duty{Name: "timer", Run: e.timer.Run})
 	}
-	return grouper.Supervise(context.WithoutCancel(ctx), grouper.Config{}, duties...)
+	err := grouper.Supervise(context.WithoutCancel(ctx), grouper.Config{}, duties...)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return errors.Join(err, e.record.fileErr)
 }
 
 // serve serves until the context ends and starts again after each crash.
--- a/standin/inferrer/inferrer_test.go
+++ b/standin/inferrer/inferrer_test.go
@@ -128,6 +128,26 @@
 	require.Equal(t, whole.text(), resumed.Resume.Text+rest.text())
 }
 
+// Guards against runs that are missing from the record when the process is killed: each change is written before a
+// caller sees it.
+func TestRecordOutlivesTheProcess(t *testing.T) {
+	var record bytes.Buffer
+	engine := start(t, inferrer.Config{Record: &record})
+	require.True(t, complete(t, engine, request("a", 40), nil).done)
+	require.True(t, complete(t, engine, request("b", 20), nil).done)
+	last := make(map[identifier.AttemptID]inferrer.Run)
+	for line := range strings.Lines(record.String()) {
+		var run inferrer.Run
+		require.NoError(t, json.Unmarshal([]byte(line), &run))
+		require.GreaterOrEqual(t, run.Tokens, last[run.AttemptID].Tokens)
+		last[run.AttemptID] = run
+	}
+	require.Equal(t, identifier.Tokens(40), last["a"].Tokens)
+	require.Equal(t, []identifier.WeightVersion{1}, last["a"].Versions)
+	require.Equal(t, inferrer.RunFinished, last["a"].State)
+	require.True(t, last["b"].Started)
+}
+
 // Guards against labels that follow orders rather than tokens, and against orders that lower fencing permits.
 func TestSwitchInMidStream(t *testing.T) {
 	engine := start(t, inferrer.Config{ChecksFencing: true, TokenInterval: 2 * time.Millisecond})
--- a/standin/launcher/launcher.go
+++ b/standin/launcher/launcher.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -79,6 +82,9 @@
 		Region:  identifier.Region(c.String("region")),
 		Pool:    identifier.PoolName(c.String("pool")),
 		State:   codec.HostStateLive,
+		// A restart under the same id and address is another upstream: without this it stayed leaving for hosts that had
+		// seen its former process leave.
+		StartedAt: time.Now(),
 	}
 }
 
@@ -105,7 +111,7 @@
 	return l.run(ctx, c, p)
 }
 
-func (l *launcher) engine(ctx context.Context, c *cli.Command) error {
+func (l *launcher) engine(ctx context.Context, c *cli.Command) (err error) {
 	config := inferrer.Config{
 		ID:              identifier.UpstreamID(c.String("id")),
 		Address:         c.String("address"),
@@ -135,6 +141,14 @@
 		}
 		config.Models = append(config.Models, model)
 	}
+	if path := c.String("record-file"); path != "" {
+		file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("open the record of %s: %w", config.ID, err)
+		}
+		defer func() { err = errors.Join(err, file.Close()) }()
+		config.Record = file
+	}
 	e, err := inferrer.New(config)
 	if err != nil {
 		return err
--- a/standin/launcher/settings.go
+++ b/standin/launcher/settings.go
@@ -42,6 +42,7 @@
 		toggle("ignores-expiry", "carry out expired orders"),
 		text("weight-store", "", "base URL of the weight store; empty makes loads need no transfer"),
 		text("poison-marker", inferrer.DefaultPoisonMarker, "text in a prompt that crashes the engine"),
+		text("record-file", "", "file to which the runs are appended as JSON lines; empty keeps them in memory only"),
 	)
 }
 
--- a/tester/soak/process_test.go
+++ b/tester/soak/process_test.go
@@ -91,6 +91,9 @@
 	folder string
 	args   func(previous []string) []string
 
+	// starting keeps a restart after a crash and one by the test from running two processes at one address.
+	starting sync.Mutex
+
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	done      chan struct{}
@@ -105,8 +108,13 @@
 // addressAttempts bounds restarts while another process holds the former port.
 const addressAttempts = 5
 
-// start runs the program until it has written its addresses.
+// start runs the program until it has written its addresses; a running one stays.
 func (p *process) start() error {
+	p.starting.Lock()
+	defer p.starting.Unlock()
+	if p.running() {
+		return nil
+	}
 	var err error
 	for range addressAttempts {
 		if err = p.startOnce(); err == nil {
--- a/tester/soak/soak_test.go
+++ b/tester/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,6 +140,14 @@
 // settle checks that, once the faults have ended, every host serves again and training goes on.
 func settle(t *testing.T, c *cluster, r *revisions, l *load, tr *trainer) {
 	highest, whole, steps := r.highest(), l.streams.whole.Load(), tr.progress.Load()
+	defer func() {
+		if t.Failed() {
+			for _, host := range c.hosts {
+				// The runtime writes all stacks to the host's log.
+				host.signal(syscall.SIGQUIT)
+			}
+		}
+	}()
 	require.Eventually(t, func() bool {
 		for _, host := range c.hosts {
 			if status, err := c.status(host); err != nil || !status.Ready || status.Revision < highest {
