isolator: share suspicion between hosts; provisional proofs; a common cause needs two other upstreams

Change: the fingerprints in flight at a crash go to other hosts at once with the probes and run alone there for a minute. Two other upstreams must have crashed within 3 s for a common cause; one within 10 s was enough before, so the test of it now has three upstreams and also checks that one is not enough. A first proof lasts 30 s while upstreams crash without the request, and the request then runs alone once more. Failed attempts are logged with fingerprint, end and whether they ran alone.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -652,6 +652,15 @@
 // FinishReason defines model for FinishReason.
 type FinishReason string
 
+// FlaggedFingerprint defines model for FlaggedFingerprint.
+type FlaggedFingerprint struct {
+	ExpiresAt   time.Time   `json:"expires_at"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+
+	// Provisional The proof is refused for a short time only, since upstreams also crashed without the request.
+	Provisional bool `json:"provisional,omitempty"`
+}
+
 // GroupID defines model for GroupID.
 type GroupID = identifier.GroupID
 
@@ -930,15 +939,18 @@
 	From Member `json:"from"`
 
 	// Join Asks for the whole member list in the reply.
-	Join    bool                `json:"join,omitempty"`
-	Members []Member            `json:"members,omitempty"`
-	Proven  []ProvenFingerprint `json:"proven,omitempty"`
+	Join    bool                 `json:"join,omitempty"`
+	Members []Member             `json:"members,omitempty"`
+	Proven  []FlaggedFingerprint `json:"proven,omitempty"`
 
-	// ProvenDigest Digest of the sender's proven fingerprints; empty without any.
+	// ProvenDigest Digest of the sender's proven and suspect fingerprints; empty without any.
 	ProvenDigest string   `json:"proven_digest,omitempty"`
 	Revision     Revision `json:"revision,omitempty"`
-	Target       HostID   `json:"target,omitempty"`
-	Updates      []Member `json:"updates"`
+
+	// Suspects Fingerprints that were in flight at a crash and therefore run alone.
+	Suspects []FlaggedFingerprint `json:"suspects,omitempty"`
+	Target   HostID               `json:"target,omitempty"`
+	Updates  []Member             `json:"updates"`
 }
 
 // Problem RFC 9457 problem details.
@@ -952,12 +964,6 @@
 	Type              string  `json:"type"`
 }
 
-// ProvenFingerprint defines model for ProvenFingerprint.
-type ProvenFingerprint struct {
-	ExpiresAt   time.Time   `json:"expires_at"`
-	Fingerprint Fingerprint `json:"fingerprint"`
-}
-
 // Raw defines model for Raw.
 type Raw = json.RawMessage
 
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -204,14 +204,14 @@
 			State: codec.MemberStateAlive,
 		},
 		SeedAddresses: settings.Seeds, Peers: h.peers, Timer: h.timer, Log: h.log, Rand: h.random("prober"), Timing: prober.QuickTiming,
-		OnProven: func(proven []codec.ProvenFingerprint) { h.dispatcher.ImportProven(proven) },
+		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.dispatcher.ImportFlagged(proven, suspects) },
 	})
 	h.lister = lister.NewDuty(lister.DutyConfig{Timer: h.timer, Logger: h.log, Pushed: true, OnPublish: h.publishUpstreams})
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: h.config.Plain, Streams: h.config.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
-		Limiter:  limiterConfig,
-		OnProven: func(proven codec.ProvenFingerprint) { h.prober.Proven([]codec.ProvenFingerprint{proven}) },
+		Limiter:   limiterConfig,
+		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
 	h.buildBatches()
 	h.buildSpreaders()
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -60,8 +60,9 @@
 	Deadline     time.Duration
 	ProbeTimeout time.Duration
 	MaxBody      identifier.Bytes
-	// OnProven is told of each fingerprint that this host proves; it must neither block nor call the dispatcher.
-	OnProven func(codec.ProvenFingerprint)
+	// OnFlagged is told of the fingerprints that this host proves or suspects; it must neither block nor call the
+	// dispatcher.
+	OnFlagged func(proven, suspects []codec.FlaggedFingerprint)
 }
 
 // Dispatcher implements connector.Generator and connector.PlainCaller. A request runs on its caller's goroutine; the
@@ -150,17 +151,17 @@
 }
 
 // Proven returns the fingerprints that this host refuses.
-func (d *Dispatcher) Proven() []codec.ProvenFingerprint {
+func (d *Dispatcher) Proven() []codec.FlaggedFingerprint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.isolator.Proven()
 }
 
-// ImportProven adds fingerprints that other hosts have proven.
-func (d *Dispatcher) ImportProven(proven []codec.ProvenFingerprint) {
+// ImportFlagged adds fingerprints that other hosts have proven or suspect.
+func (d *Dispatcher) ImportFlagged(proven, suspects []codec.FlaggedFingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.isolate(isolator.Imported{Proven: proven})
+	d.isolate(isolator.Imported{Proven: proven, Suspects: suspects})
 }
 
 // Drain refuses new requests and waits until the running ones and their permit completions are done.
@@ -218,13 +219,19 @@
 			}
 		case isolator.Proved:
 			d.config.Log.Warn(logger.FingerprintProven).Str("fingerprint", string(c.Proven.Fingerprint)).Send()
-			if d.config.OnProven != nil {
-				d.config.OnProven(c.Proven)
-			}
+			d.announce([]codec.FlaggedFingerprint{c.Proven}, nil)
+		case isolator.Suspected:
+			d.announce(nil, c.Suspects)
 		}
 	}
 }
 
+func (d *Dispatcher) announce(proven, suspects []codec.FlaggedFingerprint) {
+	if d.config.OnFlagged != nil {
+		d.config.OnFlagged(proven, suspects)
+	}
+}
+
 func (d *Dispatcher) answerTicket(id isolator.Ticket, command isolator.Command) {
 	if waiting, ok := d.tickets[id]; ok {
 		delete(d.tickets, id)
--- a/service/dispatcher/place.go
+++ b/service/dispatcher/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"celerygap.example/lib/asserter"
@@ -163,9 +164,22 @@
 	return false
 }
 
+// describePool tells why no upstream of the pool takes the request, for its refusal.
+func (j *job) describePool() string {
+	j.d.mu.Lock()
+	defer j.d.mu.Unlock()
+	known, leaving := j.d.refreshPool(j.pool), 0
+	for _, upstream := range known {
+		if upstream.Leaving {
+			leaving++
+		}
+	}
+	return fmt.Sprintf("%d usable, %d of them leaving", len(known), leaving)
+}
+
 func (j *job) awaitPlace(ctx context.Context, changed <-chan struct{}, until time.Time, wait bool) *refuser.Refusal {
 	if !wait {
-		return j.refuse(refuser.NoUpstream, shortRetryAfter, "pool %s has no upstream that takes work", j.pool)
+		return j.refuse(refuser.NoUpstream, shortRetryAfter, "pool %s has no upstream that takes work: %s", j.pool, j.describePool())
 	}
 	limit := time.NewTimer(time.Until(until))
 	defer limit.Stop()
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -104,9 +104,10 @@
 	conclusion := t.handle(Failed{failure})
 	rule := conclusion.Rule
 	j.settle(t, rule, err)
-	j.config().Log.Warn(logger.AttemptFailed).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
-		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Err(err).Send()
 	end := j.examine(ctx, p, rule)
+	j.config().Log.Warn(logger.AttemptFailed).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
+		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Str("end", string(end)).Str("fingerprint", string(j.fingerprint)).
+		Bool("alone", p.alone).Err(err).Send()
 	j.tellRouter(p, rule, end)
 	j.leave(&p, end)
 	j.stopRemains(p, t, rule)
--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -8,7 +8,9 @@
 )
 
 const (
-	maxCrashes     = 64
+	maxCrashes = 64
+	// commonCause is how many other upstreams have to crash for a common cause, such as the loss of a rack.
+	commonCause    = 2
 	shareTolerance = 1e-9
 )
 
@@ -22,26 +24,48 @@
 // share is the suspicion that a crash adds to each of its fingerprints.
 func (c crash) share() float64 { return 1 / float64(len(c.fingerprints)) }
 
-// correlate compares a crash with the recent ones of other upstreams and returns the fingerprints that they excuse. One
-// request cannot explain two crashes unless it was part of both, so when a rack or a zone fails, what was in flight on
-// only one of its upstreams is not to blame. Without this, a failed zone would make hundreds of requests wait to run
-// alone, and a suspect that runs alone in a failing zone would be proven.
+// correlate compares a crash with the recent ones and returns the fingerprints of it that they excuse. One request cannot
+// explain crashes that it was no part of, so when a rack or a zone fails, what was in flight on only one of its upstreams
+// is not to blame. Without this, a failed zone would make hundreds of requests wait to run alone. One other crash is not
+// enough: while single upstreams die now and then, it would excuse a harmful request and cost a third upstream.
 func (i *Isolator) correlate(now time.Time, latest crash) map[identifier.Fingerprint]bool {
-	excused := make(map[identifier.Fingerprint]bool)
-	for _, earlier := range i.crashes {
-		if earlier.upstream == latest.upstream || now.Sub(earlier.at) > i.config.Correlation {
-			continue
-		}
-		i.excuseMissing(now, earlier, latest, nil)
-		i.excuseMissing(now, latest, earlier, excused)
-	}
 	i.crashes = append(i.crashes, latest)
 	if len(i.crashes) > maxCrashes {
 		i.crashes = slices.Delete(i.crashes, 0, 1)
 	}
+	recent := slices.DeleteFunc(slices.Clone(i.crashes), func(c crash) bool { return now.Sub(c.at) > i.config.Correlation })
+	excused := make(map[identifier.Fingerprint]bool)
+	for n, c := range recent {
+		for fingerprint := range c.fingerprints {
+			if crashedWithout(recent, c.upstream, fingerprint) >= commonCause && i.excuse(now, fingerprint) && n == len(recent)-1 {
+				excused[fingerprint] = true
+			}
+		}
+	}
 	return excused
 }
 
+// crashedWithout counts the other upstreams that crashed while the fingerprint was not on them.
+func crashedWithout(crashes []crash, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) int {
+	others := make(map[identifier.UpstreamID]bool)
+	for _, c := range crashes {
+		if c.upstream != upstream && !c.fingerprints[fingerprint] {
+			others[c.upstream] = true
+		}
+	}
+	return len(others)
+}
+
+// excuse takes back the suspicion of a fingerprint, once.
+func (i *Isolator) excuse(now time.Time, fingerprint identifier.Fingerprint) bool {
+	s := i.record(now, fingerprint)
+	if s.excused {
+		return false
+	}
+	s.excused, s.suspicion = true, 0
+	return true
+}
+
 // clear takes back the suspicion of those that were in flight with a proven fingerprint: it explains their crashes.
 func (i *Isolator) clear(proven identifier.Fingerprint) {
 	i.crashes = slices.DeleteFunc(i.crashes, func(c crash) bool {
@@ -57,6 +81,13 @@
 	})
 }
 
+// unrest tells whether an upstream crashed lately while the fingerprint was not on it.
+func (i *Isolator) unrest(now time.Time, fingerprint identifier.Fingerprint) bool {
+	return slices.ContainsFunc(i.crashes, func(c crash) bool {
+		return !c.fingerprints[fingerprint] && now.Sub(c.at) <= unrestPeriod
+	})
+}
+
 func withoutShare(suspicion, share float64) float64 {
 	if rest := suspicion - share; rest > shareTolerance {
 		return rest
@@ -67,21 +98,3 @@
 func (i *Isolator) forgetCrashes(now time.Time) {
 	i.crashes = slices.DeleteFunc(i.crashes, func(c crash) bool { return now.Sub(c.at) > i.config.Expiry })
 }
-
-// excuseMissing excuses the fingerprints of one crash that were not part of another.
-func (i *Isolator) excuseMissing(now time.Time, of, other crash, excused map[identifier.Fingerprint]bool) {
-	for fingerprint := range of.fingerprints {
-		if other.fingerprints[fingerprint] {
-			continue
-		}
-		s := i.record(now, fingerprint)
-		if s.excused {
-			continue
-		}
-		s.excused = true
-		s.suspicion = 0
-		if excused != nil {
-			excused[fingerprint] = true
-		}
-	}
-}
--- a/service/isolator/events.go
+++ b/service/isolator/events.go
@@ -54,8 +54,8 @@
 	End     End
 }
 
-// Imported adds fingerprints that other hosts have proven.
-type Imported struct{ Proven []codec.ProvenFingerprint }
+// Imported adds fingerprints that other hosts have proven or suspect.
+type Imported struct{ Proven, Suspects []codec.FlaggedFingerprint }
 
 // Ticked lets time pass.
 type Ticked struct{}
@@ -89,11 +89,15 @@
 type Stop struct{ Attempt identifier.AttemptID }
 
 // Proved announces a fingerprint that this host has proven.
-type Proved struct{ Proven codec.ProvenFingerprint }
-
-func (Proceed) command() {}
-func (Isolate) command() {}
-func (Hold) command()    {}
-func (Refuse) command()  {}
-func (Stop) command()    {}
-func (Proved) command()  {}
+type Proved struct{ Proven codec.FlaggedFingerprint }
+
+// Suspected announces the fingerprints that were in flight at a crash, so that other hosts run them alone as well.
+type Suspected struct{ Suspects []codec.FlaggedFingerprint }
+
+func (Proceed) command()   {}
+func (Isolate) command()   {}
+func (Hold) command()      {}
+func (Refuse) command()    {}
+func (Stop) command()      {}
+func (Proved) command()    {}
+func (Suspected) command() {}
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,12 +13,20 @@
 
 // Defaults of Config.
 const (
-	DefaultExpiry      = time.Hour
-	DefaultLanes       = 1
-	DefaultMaxProven   = 1024
-	DefaultMaxSuspects = 8192
-	// DefaultCorrelation is how close together crashes of different upstreams have a common cause.
-	DefaultCorrelation = 10 * time.Second
+	DefaultExpiry = time.Hour
+	// DefaultProvisionalExpiry is how long a proof lasts while upstreams also crash without the request. It is longer than
+	// the retries of one caller take, and shorter than a training step, which an innocent request would hold up.
+	DefaultProvisionalExpiry = 30 * time.Second
+	// DefaultSuspicionExpiry is how long a suspicion of another host lasts: the time in which callers come back.
+	DefaultSuspicionExpiry = time.Minute
+	DefaultLanes           = 1
+	DefaultMaxProven       = 1024
+	DefaultMaxSuspects     = 8192
+	// DefaultCorrelation is how close together crashes of different upstreams have a common cause: the connections of a
+	// failed rack or zone are reset within a second or two.
+	DefaultCorrelation = 3 * time.Second
+	// unrestPeriod is how long a crash without a request makes a proof of that request doubtful.
+	unrestPeriod = time.Minute
 	// abortsForProof is how many aborted attempts prove a suspect that ran alone. One is not enough, because the
 	// upstream still accepts connections and may have ended the attempt for a reason of its own.
 	abortsForProof = 2
@@ -27,6 +36,10 @@
 type Config struct {
 	// Expiry is how long suspicion and proof last.
 	Expiry time.Duration
+	// ProvisionalExpiry is how long a proof lasts that crashes of other upstreams make doubtful.
+	ProvisionalExpiry time.Duration
+	// SuspicionExpiry is how long the suspicion of another host lasts.
+	SuspicionExpiry time.Duration
 	// Lanes is how many suspects of a pool may run at once, each alone on an upstream.
 	Lanes       int
 	Correlation time.Duration
@@ -39,7 +52,7 @@
 	config   Config
 	attempts map[identifier.AttemptID]*attempt
 	suspects map[identifier.Fingerprint]*suspect
-	proven   map[identifier.Fingerprint]time.Time
+	proven   map[identifier.Fingerprint]proof
 	waiting  []*ticket
 	isolated map[Ticket]identifier.PoolName
 	crashes  []crash
@@ -55,10 +68,18 @@
 	accounted bool
 }
 
+// proof ends at its time; a provisional one leaves a suspect.
+type proof struct {
+	until       time.Time
+	provisional bool
+}
+
 type suspect struct {
 	suspicion float64
-	aborts    int
-	expires   time.Time
+	// doubted is set once a provisional proof has ended; the next proof is not provisional.
+	doubted bool
+	aborts  int
+	expires time.Time
 	// excused is set once crashes elsewhere have explained one of its crashes; it is not excused a second time, so two
 	// harmful requests at once cannot excuse each other for ever.
 	excused bool
@@ -74,6 +95,8 @@
 // New returns an isolator.
 func New(config Config) *Isolator {
 	config.Expiry = cmp.Or(config.Expiry, DefaultExpiry)
+	config.ProvisionalExpiry = cmp.Or(config.ProvisionalExpiry, DefaultProvisionalExpiry)
+	config.SuspicionExpiry = cmp.Or(config.SuspicionExpiry, DefaultSuspicionExpiry)
 	config.Lanes = cmp.Or(config.Lanes, DefaultLanes)
 	config.Correlation = cmp.Or(config.Correlation, DefaultCorrelation)
 	config.MaxProven = cmp.Or(config.MaxProven, DefaultMaxProven)
@@ -82,7 +105,7 @@
 		config:   config,
 		attempts: make(map[identifier.AttemptID]*attempt),
 		suspects: make(map[identifier.Fingerprint]*suspect),
-		proven:   make(map[identifier.Fingerprint]time.Time),
+		proven:   make(map[identifier.Fingerprint]proof),
 		isolated: make(map[Ticket]identifier.PoolName),
 	}
 }
@@ -99,6 +122,7 @@
 	case Ended:
 		return append(i.end(now, e), i.dispatch(now)...)
 	case Imported:
+		i.importSuspects(now, e.Suspects)
 		return append(i.importProven(now, e.Proven), i.dispatch(now)...)
 	case Ticked:
 		i.expire(now)
@@ -107,19 +131,19 @@
 }
 
 // Proven returns the fingerprints that are refused, in order.
-func (i *Isolator) Proven() []codec.ProvenFingerprint {
-	list := make([]codec.ProvenFingerprint, 0, len(i.proven))
-	for fingerprint, expires := range i.proven {
-		list = append(list, codec.ProvenFingerprint{Fingerprint: fingerprint, ExpiresAt: expires})
+func (i *Isolator) Proven() []codec.FlaggedFingerprint {
+	list := make([]codec.FlaggedFingerprint, 0, len(i.proven))
+	for fingerprint, p := range i.proven {
+		list = append(list, flagged(fingerprint, p))
 	}
-	slices.SortFunc(list, func(a, b codec.ProvenFingerprint) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(list, func(a, b codec.FlaggedFingerprint) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return list
 }
 
 // ProvenUntil tells whether a fingerprint is refused, and until when.
 func (i *Isolator) ProvenUntil(now time.Time, fingerprint identifier.Fingerprint) (until time.Time, proven bool) {
-	until, ok := i.proven[fingerprint]
-	return until, ok && now.Before(until)
+	p, ok := i.proven[fingerprint]
+	return p.until, ok && now.Before(p.until)
 }
 
 // Suspicion returns the suspicion of a fingerprint; zero means none.
@@ -195,8 +219,8 @@
 }
 
 func (i *Isolator) begin(now time.Time, e Began) {
-	until, proven := i.proven[e.Fingerprint]
-	asserter.Check(asserter.ProvenRequestNeverSent, !proven || !now.Before(until),
+	_, proven := i.ProvenUntil(now, e.Fingerprint)
+	asserter.Check(asserter.ProvenRequestNeverSent, !proven,
 		"attempt %s on %s has the proven fingerprint %s", e.Attempt, e.Upstream, e.Fingerprint)
 	started := &attempt{id: e.Attempt, fingerprint: e.Fingerprint, upstream: e.Upstream}
 	for _, other := range i.on(e.Upstream) {
@@ -267,12 +291,17 @@
 	if i.isSuspect(now, ended.fingerprint) && !ended.shared && !explained[ended.fingerprint] {
 		return i.prove(now, ended.fingerprint)
 	}
-	for fingerprint := range c.fingerprints {
+	var suspects []codec.FlaggedFingerprint
+	for _, fingerprint := range slices.Sorted(maps.Keys(c.fingerprints)) {
 		if !explained[fingerprint] {
 			i.suspect(now, fingerprint, c.share())
+			suspects = append(suspects, codec.FlaggedFingerprint{Fingerprint: fingerprint, ExpiresAt: now.Add(i.config.SuspicionExpiry)})
 		}
 	}
-	return nil
+	if len(suspects) == 0 {
+		return nil
+	}
+	return []Command{Suspected{suspects}}
 }
 
 func (i *Isolator) suspect(now time.Time, fingerprint identifier.Fingerprint, share float64) {
@@ -294,14 +323,38 @@
 	return s
 }
 
+// prove refuses a fingerprint everywhere. While upstreams crash for other reasons, an innocent suspect is easily on one of
+// them, so the first proof is provisional then: the request is tried alone once more after a short time.
 func (i *Isolator) prove(now time.Time, fingerprint identifier.Fingerprint) []Command {
-	until := now.Add(i.config.Expiry)
-	proved := Proved{codec.ProvenFingerprint{Fingerprint: fingerprint, ExpiresAt: until}}
-	return append([]Command{proved}, i.keepProven(fingerprint, until)...)
+	p := proof{until: now.Add(i.config.Expiry)}
+	if s := i.suspects[fingerprint]; (s == nil || !s.doubted) && i.unrest(now, fingerprint) {
+		p = proof{until: now.Add(i.config.ProvisionalExpiry), provisional: true}
+	}
+	return append([]Command{Proved{flagged(fingerprint, p)}}, i.keepProven(fingerprint, p)...)
+}
+
+func flagged(fingerprint identifier.Fingerprint, p proof) codec.FlaggedFingerprint {
+	return codec.FlaggedFingerprint{Fingerprint: fingerprint, ExpiresAt: p.until, Provisional: p.provisional}
+}
+
+// importSuspects takes over the suspicion of other hosts, so that a request that crashed an upstream of one host runs
+// alone when its caller comes back through another.
+func (i *Isolator) importSuspects(now time.Time, list []codec.FlaggedFingerprint) {
+	latest := now.Add(i.config.SuspicionExpiry)
+	for _, f := range list {
+		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) {
+			continue
+		}
+		s := i.record(now, f.Fingerprint)
+		s.suspicion, s.expires = 1, f.ExpiresAt
+		if s.expires.After(latest) {
+			s.expires = latest
+		}
+	}
 }
 
 // importProven takes over proofs of other hosts; their expiry is bounded, because the clock of a host may be wrong.
-func (i *Isolator) importProven(now time.Time, list []codec.ProvenFingerprint) []Command {
+func (i *Isolator) importProven(now time.Time, list []codec.FlaggedFingerprint) []Command {
 	var commands []Command
 	latest := now.Add(i.config.Expiry)
 	for _, p := range list {
@@ -309,20 +362,21 @@
 		if until.After(latest) {
 			until = latest
 		}
-		if now.Before(until) && until.After(i.proven[p.Fingerprint]) {
-			commands = append(commands, i.keepProven(p.Fingerprint, until)...)
+		if now.Before(until) && until.After(i.proven[p.Fingerprint].until) {
+			imported := proof{until: until, provisional: p.Provisional}
+			commands = append(commands, i.keepProven(p.Fingerprint, imported)...)
 		}
 	}
 	return commands
 }
 
 // keepProven refuses a fingerprint from now on and stops its running attempts before they crash more upstreams.
-func (i *Isolator) keepProven(fingerprint identifier.Fingerprint, until time.Time) []Command {
+func (i *Isolator) keepProven(fingerprint identifier.Fingerprint, p proof) []Command {
 	delete(i.suspects, fingerprint)
 	i.clear(fingerprint)
-	i.proven[fingerprint] = until
+	i.proven[fingerprint] = p
 	if len(i.proven) > i.config.MaxProven {
-		oldest := slices.MinFunc(i.Proven(), func(a, b codec.ProvenFingerprint) int { return a.ExpiresAt.Compare(b.ExpiresAt) })
+		oldest := slices.MinFunc(i.Proven(), func(a, b codec.FlaggedFingerprint) int { return a.ExpiresAt.Compare(b.ExpiresAt) })
 		delete(i.proven, oldest.Fingerprint)
 	}
 	var commands []Command
@@ -346,9 +400,14 @@
 
 func (i *Isolator) expire(now time.Time) {
 	i.forgetCrashes(now)
-	for fingerprint, until := range i.proven {
-		if !now.Before(until) {
-			delete(i.proven, fingerprint)
+	for fingerprint, p := range i.proven {
+		if now.Before(p.until) {
+			continue
+		}
+		delete(i.proven, fingerprint)
+		if p.provisional {
+			s := i.record(now, fingerprint)
+			s.suspicion, s.doubted = 1, true
 		}
 	}
 	for fingerprint, s := range i.suspects {
--- a/service/isolator/isolator_test.go
+++ b/service/isolator/isolator_test.go
@@ -213,7 +213,8 @@
 	})
 }
 
-// Guards against a failed zone whose requests all become suspects, or of which one is proven.
+// Guards against a failed zone whose requests all become suspects, or of which one is proven, and against a harmful request
+// that is excused since one other upstream died by chance.
 func TestCrashesOfSeveralUpstreamsExcuseTheirRequests(t *testing.T) {
 	failOnViolation(t)
 	i := isolator.New(isolator.Config{})
@@ -224,14 +225,18 @@
 	begin("2", "b", "u1")
 	begin("3", "c", "u2")
 	begin("4", "b", "u2")
+	begin("5", "d", "u3")
 	i.Handle(start, isolator.Ended{Attempt: "1", End: isolator.EndCrashed})
-	require.InDelta(t, 0.5, i.Suspicion("a"), 1e-9)
 	i.Handle(start.Add(time.Second), isolator.Ended{Attempt: "3", End: isolator.EndCrashed})
-	require.Zero(t, i.Suspicion("a"), "not part of the second crash")
-	require.Zero(t, i.Suspicion("c"), "not part of the first crash")
-	require.InDelta(t, 1.0, i.Suspicion("b"), 1e-9, "part of both")
-	begin("5", "a", "u3")
+	require.InDelta(t, 0.5, i.Suspicion("a"), 1e-9, "one other crash is no common cause")
+	require.InDelta(t, 0.5, i.Suspicion("c"), 1e-9, "one other crash is no common cause")
 	i.Handle(start.Add(2*time.Second), isolator.Ended{Attempt: "5", End: isolator.EndCrashed})
+	require.Zero(t, i.Suspicion("a"), "not part of two other crashes")
+	require.Zero(t, i.Suspicion("c"), "not part of two other crashes")
+	require.Zero(t, i.Suspicion("d"), "not part of two other crashes")
+	require.InDelta(t, 1.0, i.Suspicion("b"), 1e-9, "part of two of three")
+	begin("6", "a", "u4")
+	i.Handle(start.Add(2*time.Second), isolator.Ended{Attempt: "6", End: isolator.EndCrashed})
 	require.InDelta(t, 1.0, i.Suspicion("a"), 1e-9, "nobody is excused twice")
 }
 
@@ -250,12 +255,63 @@
 	begin("3", poison, "u3")
 	at := start.Add(time.Minute)
 	require.Equal(t, []isolator.Command{
-		isolator.Proved{Proven: codec.ProvenFingerprint{Fingerprint: poison, ExpiresAt: at.Add(time.Hour)}},
+		isolator.Proved{Proven: codec.FlaggedFingerprint{Fingerprint: poison, ExpiresAt: at.Add(time.Hour)}},
 		isolator.Stop{Attempt: "copy"},
 	}, i.Handle(at, isolator.Ended{Attempt: "3", End: isolator.EndCrashed}))
 	require.Zero(t, i.Suspicion("a"))
 }
 
+// Guards against an innocent request that is refused for an hour since it was alone on an upstream that was killed: a
+// training step waits for it. Its first proof is short when upstreams crash without it, and one more run decides.
+func TestProofIsProvisionalWhileOtherUpstreamsCrash(t *testing.T) {
+	failOnViolation(t)
+	i := isolator.New(isolator.Config{Correlation: time.Millisecond})
+	crashOf := func(at time.Time, id identifier.AttemptID, fingerprint identifier.Fingerprint, upstream identifier.UpstreamID) []isolator.Command {
+		i.Handle(at, isolator.Began{Attempt: id, Fingerprint: fingerprint, Upstream: upstream})
+		return i.Handle(at, isolator.Ended{Attempt: id, End: isolator.EndCrashed})
+	}
+	crashOf(start, "1", "other", "u1")
+	crashOf(start.Add(time.Second), "2", "x", "u2")
+	at := start.Add(2 * time.Second)
+	until := at.Add(isolator.DefaultProvisionalExpiry)
+	proof := codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: until, Provisional: true}
+	require.Equal(t, []isolator.Command{isolator.Proved{Proven: proof}}, crashOf(at, "3", "x", "u3"))
+
+	other := isolator.New(isolator.Config{})
+	other.Handle(at, isolator.Imported{Proven: []codec.FlaggedFingerprint{proof}})
+	for _, host := range []*isolator.Isolator{i, other} {
+		require.IsType(t, isolator.Refuse{}, host.Handle(until.Add(-time.Second), isolator.Asked{Ticket: 1, Fingerprint: "x"})[0])
+		host.Handle(until, isolator.Ticked{})
+		require.Equal(t, []isolator.Command{isolator.Isolate{Ticket: 2}}, host.Handle(until, isolator.Asked{Ticket: 2, Fingerprint: "x"}))
+		host.Handle(until, isolator.Withdrawn{Ticket: 2})
+	}
+	at = until.Add(time.Second)
+	require.Equal(t, []isolator.Command{
+		isolator.Proved{Proven: codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: at.Add(isolator.DefaultExpiry)}},
+	}, crashOf(at, "4", "x", "u4"), "the second proof stays")
+}
+
+// Guards against a request that crashes an upstream of each host before one of them has proven it.
+func TestSuspicionOfOtherHostsIsolatesARequest(t *testing.T) {
+	failOnViolation(t)
+	first, second := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	begin := func(i *isolator.Isolator, id identifier.AttemptID, fingerprint identifier.Fingerprint, upstream identifier.UpstreamID) {
+		i.Handle(start, isolator.Began{Attempt: id, Fingerprint: fingerprint, Upstream: upstream})
+	}
+	begin(first, "1", poison, "u1")
+	begin(first, "2", "beside", "u1")
+	commands := first.Handle(start, isolator.Ended{Attempt: "1", End: isolator.EndCrashed})
+	require.Len(t, commands, 1)
+	require.IsType(t, isolator.Suspected{}, commands[0])
+	second.Handle(start, isolator.Imported{Suspects: commands[0].(isolator.Suspected).Suspects})
+	require.Equal(t, []isolator.Command{isolator.Isolate{Ticket: 1}}, second.Handle(start, isolator.Asked{Ticket: 1, Fingerprint: poison}))
+	begin(second, "3", poison, "u2")
+	commands = second.Handle(start, isolator.Ended{Attempt: "3", End: isolator.EndCrashed})
+	require.IsType(t, isolator.Proved{}, commands[0], "the second upstream is the last one")
+	later := start.Add(isolator.DefaultSuspicionExpiry)
+	require.Equal(t, []isolator.Command{isolator.Proceed{Ticket: 2}}, second.Handle(later, isolator.Asked{Ticket: 2, Fingerprint: "beside"}))
+}
+
 // Guards against a suspect that waits for those of another pool.
 func TestPoolsHaveLanesOfTheirOwn(t *testing.T) {
 	failOnViolation(t)
@@ -281,7 +337,7 @@
 	require.Empty(t, abort("1"))
 	require.InDelta(t, 1.0, i.Suspicion("x"), 1e-9)
 	require.Empty(t, abort("2"))
-	require.Equal(t, []isolator.Command{isolator.Proved{Proven: codec.ProvenFingerprint{Fingerprint: "x", ExpiresAt: start.Add(time.Hour)}}}, abort("3"))
+	require.Equal(t, []isolator.Command{isolator.Proved{Proven: codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: start.Add(time.Hour)}}}, abort("3"))
 }
 
 // Guards against suspicion that is not divided among the requests in flight, or that stays after a complete response.
@@ -299,7 +355,10 @@
 	require.Zero(t, i.Suspicion("e"))
 	i.Handle(start, isolator.Began{Attempt: "b2", Fingerprint: "b", Upstream: "other"})
 	at := start.Add(time.Minute)
-	require.Empty(t, i.Handle(at, isolator.Ended{Attempt: "b2", End: isolator.EndCrashed}), "a suspect beside others is not proven")
+	expires := at.Add(isolator.DefaultSuspicionExpiry)
+	require.Equal(t, []isolator.Command{isolator.Suspected{Suspects: []codec.FlaggedFingerprint{
+		{Fingerprint: "b", ExpiresAt: expires}, {Fingerprint: "e", ExpiresAt: expires},
+	}}}, i.Handle(at, isolator.Ended{Attempt: "b2", End: isolator.EndCrashed}), "a suspect beside others is not proven")
 	i.Handle(start, isolator.Began{Attempt: "a2", Fingerprint: "a", Upstream: "u"})
 	i.Handle(start, isolator.Ended{Attempt: "a2", End: isolator.EndAnswered})
 	require.Zero(t, i.Suspicion("a"))
@@ -309,11 +368,11 @@
 func TestImportedProofsAreRefusedUntilTheyExpire(t *testing.T) {
 	failOnViolation(t)
 	i := isolator.New(isolator.Config{})
-	i.Handle(start, isolator.Imported{Proven: []codec.ProvenFingerprint{
+	i.Handle(start, isolator.Imported{Proven: []codec.FlaggedFingerprint{
 		{Fingerprint: "x", ExpiresAt: start.Add(1000 * time.Hour)},
 		{Fingerprint: "old", ExpiresAt: start.Add(-time.Second)},
 	}})
-	require.Equal(t, []codec.ProvenFingerprint{{Fingerprint: "x", ExpiresAt: start.Add(time.Hour)}}, i.Proven())
+	require.Equal(t, []codec.FlaggedFingerprint{{Fingerprint: "x", ExpiresAt: start.Add(time.Hour)}}, i.Proven())
 	ask := func(at time.Time, id isolator.Ticket) isolator.Command {
 		return i.Handle(at, isolator.Asked{Ticket: id, Fingerprint: "x"})[0]
 	}
--- a/service/prober/duty.go
+++ b/service/prober/duty.go
@@ -56,8 +56,8 @@
 	Rand  *rand.Rand
 	// Timing is DefaultTiming when it is zero.
 	Timing Timing
-	// OnProven receives fingerprints that other hosts proved; it must not block. It may be nil.
-	OnProven func([]codec.ProvenFingerprint)
+	// OnFlagged receives fingerprints that other hosts proved or suspect; it must not block. It may be nil.
+	OnFlagged func(proven, suspects []codec.FlaggedFingerprint)
 	// Revision returns this host's catalogue revision, OnRevision receives those of others. Both may be nil.
 	Revision   func() identifier.Revision
 	OnRevision func(from codec.Member, revision identifier.Revision)
@@ -117,9 +117,9 @@
 // Changes returns a channel that gets a value after the live hosts changed; it has one reader.
 func (d *Duty) Changes() <-chan struct{} { return d.changes }
 
-// Proven spreads fingerprints that this host proved to crash upstreams.
-func (d *Duty) Proven(fingerprints []codec.ProvenFingerprint) {
-	d.ring.Offer(request{event: Proven{Fingerprints: fingerprints}})
+// Flagged spreads fingerprints that this host proved or suspects to crash upstreams.
+func (d *Duty) Flagged(proven, suspects []codec.FlaggedFingerprint) {
+	d.ring.Offer(request{event: Flagged{Proven: proven, Suspects: suspects}})
 }
 
 // Leave announces the planned stop of this host and returns when the announcements were sent or the context ends.
@@ -212,8 +212,8 @@
 	case Changed:
 		d.logChange(c)
 	case Learned:
-		if d.config.OnProven != nil {
-			d.config.OnProven(c.Fingerprints)
+		if d.config.OnFlagged != nil {
+			d.config.OnFlagged(c.Proven, c.Suspects)
 		}
 	case RevisionSeen:
 		if d.config.OnRevision != nil {
--- a/service/prober/duty_test.go
+++ b/service/prober/duty_test.go
@@ -79,7 +79,7 @@
 				Self:          codec.Member{ID: identifier.HostID(fmt.Sprintf("h%d", i)), Address: address},
 				SeedAddresses: []string{"address-0", "address-1"}, Peers: port{net, address}, Timer: clock,
 				Log: logger.Discard(), Rand: rand.New(rand.NewPCG(uint64(i), 1)),
-				OnProven: func(f []codec.ProvenFingerprint) { learned.Store(i, f[0].Fingerprint) },
+				OnFlagged: func(f, _ []codec.FlaggedFingerprint) { learned.Store(i, f[0].Fingerprint) },
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			group := grouper.NewGroup(-1)
@@ -94,7 +94,7 @@
 			require.Len(t, d.Live(), 5)
 			require.NotZero(t, d.Self().Incarnation)
 		}
-		duties[2].Proven([]codec.ProvenFingerprint{{Fingerprint: "f", ExpiresAt: time.Now().Add(time.Hour)}})
+		duties[2].Flagged([]codec.FlaggedFingerprint{{Fingerprint: "f", ExpiresAt: time.Now().Add(time.Hour)}}, nil)
 		require.NoError(t, duties[4].Leave(t.Context()))
 		stops[4]()
 		time.Sleep(10 * time.Second)
--- a/service/prober/events.go
+++ b/service/prober/events.go
@@ -33,8 +33,8 @@
 		Reached bool
 		Reply   codec.ProbeMessage
 	}
-	// Proven adds fingerprints that this host proved.
-	Proven struct{ Fingerprints []codec.ProvenFingerprint }
+	// Flagged adds fingerprints that this host proved or suspects to crash upstreams.
+	Flagged struct{ Proven, Suspects []codec.FlaggedFingerprint }
 	// Leave announces the planned stop of this host.
 	Leave struct{}
 )
@@ -52,7 +52,7 @@
 func (Answered) event()       {}
 func (Failed) event()         {}
 func (Relayed) event()        {}
-func (Proven) event()         {}
+func (Flagged) event()        {}
 func (Leave) event()          {}
 
 // Command is an output of the decision.
@@ -88,8 +88,8 @@
 		Member codec.Member
 		From   codec.MemberState
 	}
-	// Learned reports fingerprints that other hosts proved.
-	Learned struct{ Fingerprints []codec.ProvenFingerprint }
+	// Learned reports fingerprints that other hosts proved or suspect.
+	Learned struct{ Proven, Suspects []codec.FlaggedFingerprint }
 	// RevisionSeen reports the catalogue revision that another host holds.
 	RevisionSeen struct {
 		Host     codec.Member
--- a/service/prober/exchange_test.go
+++ b/service/prober/exchange_test.go
@@ -28,14 +28,14 @@
 
 type host struct {
 	*prober.Prober
-	self    codec.Member
-	live    []codec.Member
-	seen    map[identifier.HostID]codec.Member
-	proven  map[identifier.Fingerprint]bool
-	crashed bool
-	left    bool
-	frozen  time.Time
-	life    int
+	self             codec.Member
+	live             []codec.Member
+	seen             map[identifier.HostID]codec.Member
+	proven, suspects map[identifier.Fingerprint]bool
+	crashed          bool
+	left             bool
+	frozen           time.Time
+	life             int
 	// suspicions counts the hosts that this one held suspect.
 	suspicions int
 	deadSeen   map[identifier.HostID]time.Time
@@ -70,7 +70,7 @@
 	h.crashed, h.left, h.frozen = false, false, time.Time{}
 	h.self.Incarnation = identifier.Incarnation(x.now.UnixMilli())
 	h.live, h.seen = nil, make(map[identifier.HostID]codec.Member)
-	h.proven = make(map[identifier.Fingerprint]bool)
+	h.proven, h.suspects = make(map[identifier.Fingerprint]bool), make(map[identifier.Fingerprint]bool)
 	h.deadSeen = make(map[identifier.HostID]time.Time)
 	h.Prober = prober.New(prober.Config{Self: h.self, Rand: rand.New(rand.NewPCG(x.rand.Uint64(), 2))})
 	var listed []prober.ListedMember
@@ -143,9 +143,12 @@
 				h.deadSeen[c.Member.ID] = x.now
 			}
 		case prober.Learned:
-			for _, f := range c.Fingerprints {
+			for _, f := range c.Proven {
 				h.proven[f.Fingerprint] = true
 			}
+			for _, f := range c.Suspects {
+				h.suspects[f.Fingerprint] = true
+			}
 		}
 	}
 	return answer
--- a/service/prober/members.go
+++ b/service/prober/members.go
@@ -40,9 +40,10 @@
 		p.update(now, u)
 	}
 	p.absorbList(now, message.Members)
-	if fresh := p.proven.add(now, message.Proven); len(fresh) > 0 {
-		p.emit(Learned{Fingerprints: fresh})
-		p.spreadProven(now)
+	proven, suspects := p.proven.add(now, message.Proven), p.suspects.add(now, message.Suspects)
+	if len(proven)+len(suspects) > 0 {
+		p.emit(Learned{Proven: proven, Suspects: suspects})
+		p.spreadFlagged(now)
 	}
 	if message.Revision > 0 && message.From.ID != p.self.ID {
 		p.emit(RevisionSeen{Host: message.From, Revision: message.Revision})
--- a/service/prober/prober.go
+++ b/service/prober/prober.go
@@ -61,16 +61,18 @@
 	MaxUpdates = 6
 	// partitionShare is the part (one in so many) of the members whose death is taken for a partition.
 	partitionShare = 8
-	// maxProven bounds the piggybacked fingerprints of a message.
-	maxProven = 4
-	// maxProvenKept bounds the memory for fingerprints; the ones that expire first go first.
-	maxProvenKept = 1024
+	// maxFlagged bounds the piggybacked fingerprints of each kind in a message. A crash makes suspects of all that one
+	// host had in flight on the engine, which are at most its slots.
+	maxFlagged = 16
+	// maxFlaggedKept bounds the memory for fingerprints of each kind; the ones that expire first go first.
+	maxFlaggedKept = 1024
 	// indirectProbes is how many hosts are asked to probe a host that does not respond.
 	indirectProbes = 2
 	// joinProbes is how many seeds a host contacts at once until one answers.
 	joinProbes = 3
-	// provenProbes is how many hosts a host tells at once of fingerprints that are new to it.
-	provenProbes = 4
+	// flaggedMargin is added to the binary logarithm of the number of hosts: so many hosts does a host tell at once of
+	// fingerprints that are new to it. With 4 each, one of 40 hosts was left out in one of two runs.
+	flaggedMargin = 2
 	// leaveProbes is how many hosts a leaving host tells directly.
 	leaveProbes = 6
 )
@@ -90,14 +92,15 @@
 
 // Prober decides about probes and membership.
 type Prober struct {
-	config  Config
-	self    codec.Member
-	members map[identifier.HostID]*member
-	order   []identifier.HostID
-	probes  map[ProbeID]*probe
-	lastID  ProbeID
-	updates updates
-	proven  proven
+	config   Config
+	self     codec.Member
+	members  map[identifier.HostID]*member
+	order    []identifier.HostID
+	probes   map[ProbeID]*probe
+	lastID   ProbeID
+	updates  updates
+	proven   fingerprintSet
+	suspects fingerprintSet
 
 	// streak counts the probes in a row that got no answer.
 	streak int
@@ -142,12 +145,13 @@
 		config.Timing = DefaultTiming
 	}
 	return &Prober{
-		config:  config,
-		self:    config.Self,
-		members: make(map[identifier.HostID]*member),
-		probes:  make(map[ProbeID]*probe),
-		proven:  proven{known: make(map[identifier.Fingerprint]*provenItem)},
-		changed: true,
+		config:   config,
+		self:     config.Self,
+		members:  make(map[identifier.HostID]*member),
+		probes:   make(map[ProbeID]*probe),
+		proven:   newFingerprintSet(),
+		suspects: newFingerprintSet(),
+		changed:  true,
 	}
 }
 
@@ -170,9 +174,10 @@
 		p.failed(e.ID)
 	case Relayed:
 		p.relayed(now, e)
-	case Proven:
-		if len(p.proven.add(now, e.Fingerprints)) > 0 {
-			p.spreadProven(now)
+	case Flagged:
+		proven := p.proven.add(now, e.Proven)
+		if suspects := p.suspects.add(now, e.Suspects); len(proven)+len(suspects) > 0 {
+			p.spreadFlagged(now)
 		}
 	case Leave:
 		p.leave(now)
--- a/service/prober/prober_test.go
+++ b/service/prober/prober_test.go
@@ -139,7 +139,7 @@
 	x.hosts[9].crashed = true
 	x.cut = func(a, b *host) bool { return index(x, a)%2 != index(x, b)%2 }
 	expires := x.now.Add(time.Hour)
-	x.give(x.hosts[0], prober.Proven{Fingerprints: []codec.ProvenFingerprint{{Fingerprint: "f", ExpiresAt: expires}}})
+	x.give(x.hosts[0], prober.Flagged{Proven: []codec.FlaggedFingerprint{{Fingerprint: "f", ExpiresAt: expires}}})
 	missing := func() (n int) {
 		for i, h := range x.hosts {
 			if i > 0 && !h.crashed && !h.proven["f"] {
@@ -213,14 +213,18 @@
 	require.Contains(t, reply.(prober.Reply).Message.Updates, h.self)
 }
 
-// Guards against a proven request that its caller sends to another host before that host knows the fingerprint.
-func TestProvenFingerprintsSpreadAtOnce(t *testing.T) {
-	x := newExchange(40, 7, t.Fatalf)
-	x.advance(20 * time.Second)
-	x.give(x.hosts[0], prober.Proven{Fingerprints: []codec.ProvenFingerprint{{Fingerprint: "f", ExpiresAt: x.now.Add(time.Hour)}}})
-	x.advance(300 * time.Millisecond)
-	for _, h := range x.hosts[1:] {
-		require.True(t, h.proven["f"], "a host does not know the fingerprint after 300 ms")
+// Guards against a proven request, and a suspect, that its caller sends to another host before that host knows of it.
+func TestFlaggedFingerprintsSpreadAtOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		x := newExchange(40, seed, t.Fatalf)
+		x.advance(20 * time.Second)
+		x.give(x.hosts[0], prober.Flagged{Proven: []codec.FlaggedFingerprint{{Fingerprint: "proven", ExpiresAt: x.now.Add(time.Hour)}}})
+		x.give(x.hosts[0], prober.Flagged{Suspects: []codec.FlaggedFingerprint{{Fingerprint: "suspect", ExpiresAt: x.now.Add(time.Minute)}}})
+		x.advance(300 * time.Millisecond)
+		for _, h := range x.hosts[1:] {
+			require.Equal(t, map[identifier.Fingerprint]bool{"proven": true}, h.proven, "seed %d: after 300 ms", seed)
+			require.Equal(t, map[identifier.Fingerprint]bool{"suspect": true}, h.suspects, "seed %d: after 300 ms", seed)
+		}
 	}
 }
 
--- a/service/prober/probes.go
+++ b/service/prober/probes.go
@@ -20,6 +20,7 @@
 		p.expireMembers(now)
 	}
 	p.proven.expire(now)
+	p.suspects.expire(now)
 	p.updates.expire(now)
 	if p.self.State != codec.MemberStateAlive {
 		return
@@ -131,12 +132,13 @@
 // message returns a message with the own entry and piggybacked updates. What is said of the receiver goes first, so
 // that it can refute.
 func (p *Prober) message(to identifier.HostID) codec.ProbeMessage {
-	message := codec.ProbeMessage{From: p.self, Updates: []codec.Member{}, ProvenDigest: p.proven.digest()}
+	message := codec.ProbeMessage{From: p.self, Updates: []codec.Member{}, ProvenDigest: digest(p.proven, p.suspects)}
 	if m, known := p.members[to]; known && m.State != codec.MemberStateAlive {
 		message.Updates = append(message.Updates, m.Member)
 	}
 	message.Updates = append(message.Updates, p.updates.take(MaxUpdates-len(message.Updates), len(p.members)+1)...)
 	message.Proven = p.proven.take(len(p.members) + 1)
+	message.Suspects = p.suspects.take(len(p.members) + 1)
 	if p.config.Revision != nil {
 		message.Revision = p.config.Revision()
 	}
@@ -146,7 +148,7 @@
 func (p *Prober) replyTo(request codec.ProbeMessage) codec.ProbeMessage {
 	reply := p.message(request.From.ID)
 	if request.ProvenDigest != reply.ProvenDigest {
-		reply.Proven = p.proven.sample(p.config.Rand)
+		reply.Proven, reply.Suspects = p.proven.sample(p.config.Rand), p.suspects.sample(p.config.Rand)
 	}
 	if request.Join {
 		reply.Members = p.everyone()
--- a/service/supervisor/parts.go
+++ b/service/supervisor/parts.go
@@ -111,8 +111,8 @@
 			return prober.FromList(codec.HostList{Hosts: p.lister.Seeds()}, lister.CelerygapPool), nil
 		},
 		Peers: p.peers, Timer: h.timer, Log: h.log, Rand: h.random("prober"),
-		OnProven: func(proven []codec.ProvenFingerprint) { p.dispatcher.ImportProven(proven) },
-		Revision: func() identifier.Revision { return p.disseminator.Current().Revision },
+		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { p.dispatcher.ImportFlagged(proven, suspects) },
+		Revision:  func() identifier.Revision { return p.disseminator.Current().Revision },
 		OnRevision: func(from codec.Member, revision identifier.Revision) {
 			p.disseminator.RevisionSeen(from, revision)
 		},
@@ -126,7 +126,7 @@
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: p.disseminator, Upstreams: p.lister,
 		Engines: engines, Plain: plainconnector.New(plainconnector.Config{}), Permits: p.permitter, Meter: h.meter, Log: h.log,
 		Timer: h.timer, Random: h.random("dispatcher"),
-		OnProven: func(proven codec.ProvenFingerprint) { p.prober.Proven([]codec.ProvenFingerprint{proven}) },
+		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { p.prober.Flagged(proven, suspects) },
 	})
 	p.updater = updater.New(updater.Settings{
 		Store: store, Members: p.prober, Peers: p.peers, Catalogue: p.disseminator, Upstreams: p.lister, Engines: engines,
