--- a/tester/forwarder/forwarder.go
+++ b/standin/forwarder/forwarder.go
@@ -29,6 +29,9 @@
 	ModePass Mode = "pass"
 	// ModeBlackHole accepts connections and bytes but passes nothing on, in either direction.
 	ModeBlackHole Mode = "black_hole"
+	// ModeHoldRequests passes on only what comes from the target, ModeHoldResponses only what goes to it.
+	ModeHoldRequests  Mode = "hold_requests"
+	ModeHoldResponses Mode = "hold_responses"
 	// ModeRefuse closes new connections at once.
 	ModeRefuse Mode = "refuse"
 )
@@ -146,8 +149,8 @@
 	}
 	defer f.remove(target)
 	directions := grouper.NewGroup(2)
-	directions.Go(func() { f.relay(ctx, target, caller) })
-	directions.Go(func() { f.relay(ctx, caller, target) })
+	directions.Go(func() { f.relay(ctx, target, caller, ModeHoldRequests) })
+	directions.Go(func() { f.relay(ctx, caller, target, ModeHoldResponses) })
 	directions.Wait()
 }
 
@@ -182,8 +185,9 @@
 	due  time.Time
 }
 
-// relay passes one direction on. Reading continues during a delay, so that the delay does not limit the rate.
-func (f *Forwarder) relay(ctx context.Context, to, from net.Conn) {
+// relay passes one direction on, which the given mode holds. Reading continues during a delay, so that the delay does not
+// limit the rate.
+func (f *Forwarder) relay(ctx context.Context, to, from net.Conn, held Mode) {
 	pieces := make(chan piece, queuedChunks)
 	reader := grouper.NewGroup(1)
 	reader.Go(func() {
@@ -192,7 +196,7 @@
 	})
 	defer reader.Wait()
 	for p := range pieces {
-		if !f.hold(ctx, p.due) || f.write(to, p.data) != nil {
+		if !f.hold(ctx, p.due, held) || f.write(to, p.data) != nil {
 			_ = from.Close()
 			drain(pieces)
 			break
@@ -236,7 +240,7 @@
 }
 
 // hold waits until the bytes are due and the mode passes them on.
-func (f *Forwarder) hold(ctx context.Context, due time.Time) bool {
+func (f *Forwarder) hold(ctx context.Context, due time.Time, held Mode) bool {
 	timeout := time.NewTimer(time.Until(due))
 	defer timeout.Stop()
 	select {
@@ -246,7 +250,7 @@
 	}
 	for {
 		mode, _, changed := f.state()
-		if mode != ModeBlackHole {
+		if mode != ModeBlackHole && mode != held {
 			return true
 		}
 		select {
--- a/tester/forwarder/forwarder_test.go
+++ b/standin/forwarder/forwarder_test.go
@@ -5,18 +5,23 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"celerygap.example/lib/grouper"
-	"celerygap.example/tester/forwarder"
+	"celerygap.example/standin/forwarder"
 )
 
 // Guards against a proxy whose faults do nothing, under which every test of a network failure would pass.
 func TestFaults(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		_, _ = w.Write([]byte("ok"))
+	}))
 	defer server.Close()
 	f, err := forwarder.New(forwarder.Config{Target: strings.TrimPrefix(server.URL, "http://")})
 	require.NoError(t, err)
@@ -48,6 +53,16 @@
 	took, err = get()
 	require.Error(t, err)
 	require.GreaterOrEqual(t, took, 300*time.Millisecond, "the call gets neither a response nor an end")
+	for mode, arriving := range map[forwarder.Mode]int64{forwarder.ModeHoldRequests: 0, forwarder.ModeHoldResponses: 1} {
+		f.Cut()
+		f.SetMode(mode)
+		client.CloseIdleConnections()
+		before := served.Load()
+		_, err = get()
+		require.Error(t, err, mode)
+		require.Equal(t, arriving, served.Load()-before, mode)
+	}
+	f.Cut()
 	f.SetMode(forwarder.ModeRefuse)
 	client.CloseIdleConnections()
 	took, err = get()
