--- a/service/disseminator/disseminator_test.go
+++ b/service/disseminator/disseminator_test.go
@@ -54,6 +54,22 @@
 	})
 }
 
+// Guards against a host that was paused while it asked for the highest revision and becomes ready by answers from before
+// the pause. Found by rapid with seed 15594470567042730914: ready with revision 4, 5.243 s after revision 5.
+func TestAnswersFromBeforeAPauseConfirmNothing(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	self, peer := codec.Member{ID: "a", Address: "1"}, codec.Member{ID: "b", Address: "2"}
+	d := disseminator.New(disseminator.Config{Self: self, Rand: rand.New(rand.NewPCG(1, 2))})
+	d.Handle(start, disseminator.MembersChanged{Self: self, Live: []codec.Member{self, peer}})
+	d.Handle(start, disseminator.Tick{})
+	d.Handle(start.Add(10*time.Millisecond), disseminator.StoreSeen{Full: true})
+	paused := start.Add(5200 * time.Millisecond)
+	require.NotContains(t, d.Handle(paused, disseminator.MembersChanged{Self: self, Live: []codec.Member{self, peer}}), disseminator.SetReady{Ready: true})
+	d.Handle(paused, disseminator.Tick{})
+	d.Handle(paused, disseminator.StoreSeen{Full: true})
+	require.Contains(t, d.Handle(paused.Add(1500*time.Millisecond), disseminator.Tick{}), disseminator.SetReady{Ready: true})
+}
+
 // Guards against slow dissemination: a change reaches 200 hosts within the bound, with a tenth of the messages lost.
 func TestChangeReachesManyHostsWithinBound(t *testing.T) {
 	x := newExchange(200, 1, t.Fatalf)
--- a/service/disseminator/readiness.go
+++ b/service/disseminator/readiness.go
@@ -62,7 +62,9 @@
 	}
 	c := d.confirm
 	peersDone := len(c.waiting) == 0 || now.Sub(c.started) >= confirmPatience
-	confirmed := c.storeDone && peersDone && (c.storeAnswer || c.answers > 0)
+	// Answers from before a pause of this process say nothing of the revisions since.
+	current := now.Sub(c.started) <= confirmInterval
+	confirmed := current && c.storeDone && peersDone && (c.storeAnswer || c.answers > 0)
 	if d.known && confirmed && !behind {
 		d.setReady(true)
 	}
