batcher: hosts read stored results through the job's home

Change: such a read goes to the job's home, which keeps the chunks; if it does not answer within 500 ms the host reads the store itself. A position that was read before costs no call.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -430,7 +430,7 @@
 	Body  []byte `json:"body,omitempty"`
 	Found bool   `json:"found"`
 
-	// Owner False when the replier does not own the job.
+	// Owner False when the replier does not own the job and was not asked for its stored results.
 	Owner bool `json:"owner"`
 }
 
@@ -969,10 +969,13 @@
 
 // ReadBatch defines model for ReadBatch.
 type ReadBatch struct {
-	After int      `json:"after"`
-	From  HostID   `json:"from"`
-	Job   BatchID  `json:"job"`
-	Wait  Duration `json:"wait,omitempty"`
+	After int     `json:"after"`
+	From  HostID  `json:"from"`
+	Job   BatchID `json:"job"`
+
+	// Stored Asks for the stored results of a job that nobody owns; the job's home keeps them for all hosts.
+	Stored bool     `json:"stored,omitempty"`
+	Wait   Duration `json:"wait,omitempty"`
 }
 
 // ReadBody defines model for ReadBody.
@@ -984,7 +987,7 @@
 
 // ReadReply defines model for ReadReply.
 type ReadReply struct {
-	// Owner False when the replier does not own the job.
+	// Owner False when the replier does not own the job and was not asked for its stored results.
 	Owner bool       `json:"owner"`
 	Page  *BatchPage `json:"page,omitempty"`
 }
--- a/service/batcher/duty_test.go
+++ b/service/batcher/duty_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,8 +127,10 @@
 	t     *testing.T
 	mesh  *mesh
 	store *storekeeper.Store
-	run   *runner
-	start int64
+	// counter, if set, stands before the store of hosts that are added.
+	counter *readCounter
+	run     *runner
+	start   int64
 }
 
 func newFleet(t *testing.T, pause time.Duration) *fleet {
@@ -145,8 +149,12 @@
 	p := port{f.mesh, id}
 	service := timer.New(timer.Config{Resolution: time.Millisecond})
 	f.start++
+	var store connector.ObjectStore = f.store
+	if f.counter != nil {
+		store = f.counter
+	}
 	d := batcher.NewDuty(batcher.DutyConfig{
-		Self: p.Self(), Incarnation: identifier.Incarnation(f.start), Keeper: batchkeeper.New(f.store), Runner: f.run,
+		Self: p.Self(), Incarnation: identifier.Incarnation(f.start), Keeper: batchkeeper.New(store), Runner: f.run,
 		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
 		Catalogue: cataloguer.New(cataloguer.Config{}), Upstreams: noReports{}, Members: p, Peers: p, Timer: service,
 		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: 100 * time.Millisecond,
@@ -241,6 +249,39 @@
 	require.Equal(t, before, f.awaitResults(f.add("a"), 5))
 }
 
+// readCounter counts the reads of chunks of results.
+type readCounter struct {
+	*storekeeper.Store
+	reads atomic.Int64
+}
+
+func (s *readCounter) Get(ctx context.Context, key string) (codec.Object, error) {
+	if strings.HasPrefix(key, "batchresults/") {
+		s.reads.Add(1)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against a store that is asked for the same results by each host after all of them have restarted.
+func TestStoredResultsAreReadOnceForAllHosts(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a := f.add("a")
+	_, err := a.Submit(t.Context(), submission(5))
+	require.NoError(t, err)
+	before := f.awaitResults(a, 5)
+	require.NoError(t, a.End(t.Context(), jobID))
+	a.stop()
+	counter := &readCounter{Store: f.store}
+	f.counter = counter
+	hosts := []*host{f.add("b"), f.add("c"), f.add("d"), f.add("e")}
+	for range 3 {
+		for _, h := range hosts {
+			require.Equal(t, before, results(t, h))
+		}
+	}
+	require.LessOrEqual(t, counter.reads.Load(), int64(len(before)+1), "each chunk once, and the end of the list")
+}
+
 // Guards against a planned stop that loses texts: the next owner goes on after the last event.
 func TestHandOverKeepsTexts(t *testing.T) {
 	f := newFleet(t, 150*time.Millisecond)
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -22,6 +22,10 @@
 // maxChains bounds the remembered chains.
 const maxChains = 64
 
+// homeTimeout bounds a read through the job's home: a few reads of the store, which answer within some ms. If the home
+// has died unnoticed, the host reads the store itself and the trainer still gets its answer within a second.
+const homeTimeout = 500 * time.Millisecond
+
 // Read returns results of a job: from this host if it owns the job, else from the owner, else from the store.
 func (d *Duty) Read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, error) {
 	if page, ok := d.readHeld(ctx, id, after, wait); ok {
@@ -38,7 +42,38 @@
 	if page, ok := d.readFromOwner(ctx, head, after, wait); ok {
 		return page, nil
 	}
-	results, _, err := d.readChain(ctx, id)
+	if page, ok := d.readThroughHome(ctx, head, after); ok {
+		return page, nil
+	}
+	return d.readStored(ctx, head, after)
+}
+
+// readThroughHome reads the stored results through the job's home, which keeps them: after all hosts have restarted, each
+// of them would read every chunk of each job that trainers ask for.
+func (d *Duty) readThroughHome(ctx context.Context, head batchkeeper.Head, after int) (codec.BatchPage, bool) {
+	home := d.homeOf(string(head.ID))
+	if home.ID == d.config.Self.ID {
+		return codec.BatchPage{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
+	var reply codec.ReadReply
+	request := codec.ReadBatch{From: d.config.Self.ID, Job: head.ID, After: after, Stored: true}
+	if err := d.config.Peers.Call(ctx, home, methodRead, request, &reply); err != nil || reply.Page == nil {
+		return codec.BatchPage{}, false
+	}
+	return *reply.Page, true
+}
+
+// readStored reads a page from the store, or from what was read before if that reaches beyond the position.
+func (d *Duty) readStored(ctx context.Context, head batchkeeper.Head, after int) (codec.BatchPage, error) {
+	d.mu.Lock()
+	known, ok := d.chains[head.ID]
+	d.mu.Unlock()
+	if ok && (after < len(known.results) || len(known.results) >= head.Total) {
+		return pageOf(known.results, head.Total, after, pageBytes), nil
+	}
+	results, _, err := d.readChain(ctx, head.ID)
 	if err != nil {
 		return codec.BatchPage{}, err
 	}
@@ -150,9 +185,18 @@
 		return nil, annotator.Wrap("decode batch read", "peer", err)
 	}
 	page, ok := d.readHeld(ctx, request.Job, request.After, request.Wait.Std())
-	if !ok {
+	if !ok && !request.Stored {
 		return codec.ReadReply{}, nil
 	}
+	if !ok {
+		head, _, err := d.ownerOf(ctx, request.Job)
+		if err != nil {
+			return nil, err
+		}
+		if page, err = d.readStored(ctx, head, request.After); err != nil {
+			return nil, err
+		}
+	}
 	return codec.ReadReply{Owner: true, Page: &page}, nil
 }
 
