isolator: proofs name the upstreams that they explain; crashes of other hosts count

Change: suspicions and proofs name the upstreams. A proof clears what other hosts suspect of the same crash, also if that arrives later, and crashes that other hosts report make a first proof provisional.

Result: TestCrashesOfOtherHostsAreTakenIntoAccount plays the trace.

--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -9,6 +9,8 @@
 
 const (
 	maxCrashes = 64
+	// sameCrash is how far apart hosts notice one crash, and tell each other of it.
+	sameCrash = 5 * time.Second
 	// commonCause is how many other upstreams have to crash for a common cause, such as the loss of a rack.
 	commonCause    = 2
 	shareTolerance = 1e-9
@@ -19,6 +21,15 @@
 	upstream     identifier.UpstreamID
 	at           time.Time
 	fingerprints map[identifier.Fingerprint]bool
+	// elsewhere holds what other hosts had in flight there; remote is set if this host had nothing.
+	elsewhere map[identifier.Fingerprint]bool
+	remote    bool
+}
+
+// explanation is a crash that a proven fingerprint explains.
+type explanation struct {
+	upstream identifier.UpstreamID
+	at       time.Time
 }
 
 // share is the suspicion that a crash adds to each of its fingerprints.
@@ -29,11 +40,8 @@
 // is not to blame. Without this, a failed zone would make hundreds of requests wait to run alone. One other crash is not
 // enough: while single upstreams die now and then, it would excuse a harmful request and cost a third upstream.
 func (i *Isolator) correlate(now time.Time, latest crash) map[identifier.Fingerprint]bool {
-	i.crashes = append(i.crashes, latest)
-	if len(i.crashes) > maxCrashes {
-		i.crashes = slices.Delete(i.crashes, 0, 1)
-	}
-	recent := slices.DeleteFunc(slices.Clone(i.crashes), func(c crash) bool { return now.Sub(c.at) > i.config.Correlation })
+	i.keepCrash(latest)
+	recent := slices.DeleteFunc(slices.Clone(i.crashes), func(c crash) bool { return c.remote || now.Sub(c.at) > i.config.Correlation })
 	excused := make(map[identifier.Fingerprint]bool)
 	for n, c := range recent {
 		for fingerprint := range c.fingerprints {
@@ -66,10 +74,20 @@
 	return true
 }
 
-// clear takes back the suspicion of those that were in flight with a proven fingerprint: it explains their crashes.
-func (i *Isolator) clear(proven identifier.Fingerprint) {
+// clear takes back the suspicion of those that were in flight with a proven fingerprint: it explains their crashes. The
+// proven one may have run there for another host, which then names the upstreams.
+func (i *Isolator) clear(now time.Time, proven identifier.Fingerprint, upstreams []identifier.UpstreamID) {
+	i.explained = slices.DeleteFunc(i.explained, func(e explanation) bool { return now.Sub(e.at) > sameCrash })
+	for _, upstream := range upstreams {
+		i.explained = append(i.explained, explanation{upstream, now})
+	}
+	for _, s := range i.suspects {
+		if s.source != "" && i.isExplained(now, s.source) {
+			s.suspicion = 0
+		}
+	}
 	i.crashes = slices.DeleteFunc(i.crashes, func(c crash) bool {
-		if !c.fingerprints[proven] {
+		if !c.fingerprints[proven] && !c.elsewhere[proven] && (now.Sub(c.at) > sameCrash || !slices.Contains(upstreams, c.upstream)) {
 			return false
 		}
 		for fingerprint := range c.fingerprints {
@@ -84,10 +102,34 @@
 // unrest tells whether an upstream crashed lately while the fingerprint was not on it.
 func (i *Isolator) unrest(now time.Time, fingerprint identifier.Fingerprint) bool {
 	return slices.ContainsFunc(i.crashes, func(c crash) bool {
-		return !c.fingerprints[fingerprint] && now.Sub(c.at) <= unrestPeriod
+		return !c.fingerprints[fingerprint] && !c.elsewhere[fingerprint] && now.Sub(c.at) <= unrestPeriod
 	})
 }
 
+func (i *Isolator) isExplained(now time.Time, upstream identifier.UpstreamID) bool {
+	return slices.ContainsFunc(i.explained, func(e explanation) bool { return e.upstream == upstream && now.Sub(e.at) <= sameCrash })
+}
+
+// noteElsewhere remembers what another host had in flight at a crash, together with the own record of the same crash.
+func (i *Isolator) noteElsewhere(now time.Time, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) {
+	at := slices.IndexFunc(i.crashes, func(c crash) bool { return c.upstream == upstream && now.Sub(c.at) <= sameCrash })
+	if at < 0 {
+		i.keepCrash(crash{upstream: upstream, at: now, remote: true})
+		at = len(i.crashes) - 1
+	}
+	if i.crashes[at].elsewhere == nil {
+		i.crashes[at].elsewhere = make(map[identifier.Fingerprint]bool)
+	}
+	i.crashes[at].elsewhere[fingerprint] = true
+}
+
+func (i *Isolator) keepCrash(c crash) {
+	i.crashes = append(i.crashes, c)
+	if len(i.crashes) > maxCrashes {
+		i.crashes = slices.Delete(i.crashes, 0, 1)
+	}
+}
+
 func withoutShare(suspicion, share float64) float64 {
 	if rest := suspicion - share; rest > shareTolerance {
 		return rest
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -56,6 +56,8 @@
 	waiting  []*ticket
 	isolated map[Ticket]identifier.PoolName
 	crashes  []crash
+	// explained are the crashes that proofs of the last seconds explain, for suspicions that arrive later.
+	explained []explanation
 }
 
 type attempt struct {
@@ -76,6 +78,8 @@
 
 type suspect struct {
 	suspicion float64
+	// source is the upstream whose crash another host reported; empty for a suspicion of this host.
+	source identifier.UpstreamID
 	// doubted is set once a provisional proof has ended; the next proof is not provisional.
 	doubted bool
 	aborts  int
@@ -295,7 +299,9 @@
 	for _, fingerprint := range slices.Sorted(maps.Keys(c.fingerprints)) {
 		if !explained[fingerprint] {
 			i.suspect(now, fingerprint, c.share())
-			suspects = append(suspects, codec.FlaggedFingerprint{Fingerprint: fingerprint, ExpiresAt: now.Add(i.config.SuspicionExpiry)})
+			suspects = append(suspects, codec.FlaggedFingerprint{
+				Fingerprint: fingerprint, ExpiresAt: now.Add(i.config.SuspicionExpiry), Upstreams: []identifier.UpstreamID{ended.upstream},
+			})
 		}
 	}
 	if len(suspects) == 0 {
@@ -307,6 +313,7 @@
 func (i *Isolator) suspect(now time.Time, fingerprint identifier.Fingerprint, share float64) {
 	s := i.record(now, fingerprint)
 	s.suspicion += share
+	s.source = ""
 }
 
 // record returns what is kept of a fingerprint that was part of a crash.
@@ -330,7 +337,13 @@
 	if s := i.suspects[fingerprint]; (s == nil || !s.doubted) && i.unrest(now, fingerprint) {
 		p = proof{until: now.Add(i.config.ProvisionalExpiry), provisional: true}
 	}
-	return append([]Command{Proved{flagged(fingerprint, p)}}, i.keepProven(fingerprint, p)...)
+	announced := flagged(fingerprint, p)
+	for _, c := range i.crashes {
+		if c.fingerprints[fingerprint] && now.Sub(c.at) <= sameCrash {
+			announced.Upstreams = append(announced.Upstreams, c.upstream)
+		}
+	}
+	return append([]Command{Proved{announced}}, i.keepProven(now, announced, p)...)
 }
 
 func flagged(fingerprint identifier.Fingerprint, p proof) codec.FlaggedFingerprint {
@@ -342,11 +355,16 @@
 func (i *Isolator) importSuspects(now time.Time, list []codec.FlaggedFingerprint) {
 	latest := now.Add(i.config.SuspicionExpiry)
 	for _, f := range list {
-		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) {
+		var source identifier.UpstreamID
+		if len(f.Upstreams) > 0 {
+			source = f.Upstreams[0]
+			i.noteElsewhere(now, source, f.Fingerprint)
+		}
+		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) || i.isExplained(now, source) {
 			continue
 		}
 		s := i.record(now, f.Fingerprint)
-		s.suspicion, s.expires = 1, f.ExpiresAt
+		s.suspicion, s.source, s.expires = 1, source, f.ExpiresAt
 		if s.expires.After(latest) {
 			s.expires = latest
 		}
@@ -364,16 +382,17 @@
 		}
 		if now.Before(until) && until.After(i.proven[p.Fingerprint].until) {
 			imported := proof{until: until, provisional: p.Provisional}
-			commands = append(commands, i.keepProven(p.Fingerprint, imported)...)
+			commands = append(commands, i.keepProven(now, p, imported)...)
 		}
 	}
 	return commands
 }
 
 // keepProven refuses a fingerprint from now on and stops its running attempts before they crash more upstreams.
-func (i *Isolator) keepProven(fingerprint identifier.Fingerprint, p proof) []Command {
+func (i *Isolator) keepProven(now time.Time, f codec.FlaggedFingerprint, p proof) []Command {
+	fingerprint := f.Fingerprint
 	delete(i.suspects, fingerprint)
-	i.clear(fingerprint)
+	i.clear(now, fingerprint, f.Upstreams)
 	i.proven[fingerprint] = p
 	if len(i.proven) > i.config.MaxProven {
 		oldest := slices.MinFunc(i.Proven(), func(a, b codec.FlaggedFingerprint) int { return a.ExpiresAt.Compare(b.ExpiresAt) })
--- a/service/isolator/isolator_test.go
+++ b/service/isolator/isolator_test.go
@@ -255,7 +255,9 @@
 	begin("3", poison, "u3")
 	at := start.Add(time.Minute)
 	require.Equal(t, []isolator.Command{
-		isolator.Proved{Proven: codec.FlaggedFingerprint{Fingerprint: poison, ExpiresAt: at.Add(time.Hour)}},
+		isolator.Proved{Proven: codec.FlaggedFingerprint{
+			Fingerprint: poison, ExpiresAt: at.Add(time.Hour), Upstreams: []identifier.UpstreamID{"u3"},
+		}},
 		isolator.Stop{Attempt: "copy"},
 	}, i.Handle(at, isolator.Ended{Attempt: "3", End: isolator.EndCrashed}))
 	require.Zero(t, i.Suspicion("a"))
@@ -274,7 +276,7 @@
 	crashOf(start.Add(time.Second), "2", "x", "u2")
 	at := start.Add(2 * time.Second)
 	until := at.Add(isolator.DefaultProvisionalExpiry)
-	proof := codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: until, Provisional: true}
+	proof := codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: until, Provisional: true, Upstreams: []identifier.UpstreamID{"u2", "u3"}}
 	require.Equal(t, []isolator.Command{isolator.Proved{Proven: proof}}, crashOf(at, "3", "x", "u3"))
 
 	other := isolator.New(isolator.Config{})
@@ -287,7 +289,9 @@
 	}
 	at = until.Add(time.Second)
 	require.Equal(t, []isolator.Command{
-		isolator.Proved{Proven: codec.FlaggedFingerprint{Fingerprint: "x", ExpiresAt: at.Add(isolator.DefaultExpiry)}},
+		isolator.Proved{Proven: codec.FlaggedFingerprint{
+			Fingerprint: "x", ExpiresAt: at.Add(isolator.DefaultExpiry), Upstreams: []identifier.UpstreamID{"u4"},
+		}},
 	}, crashOf(at, "4", "x", "u4"), "the second proof stays")
 }
 
@@ -312,6 +316,40 @@
 	require.Equal(t, []isolator.Command{isolator.Proceed{Ticket: 2}}, second.Handle(later, isolator.Asked{Ticket: 2, Fingerprint: "beside"}))
 }
 
+// Guards against innocent requests that stay suspects since the harmful one ran on their upstream for another host, and
+// against a lasting proof by a host that has just started and knows no crash but the one it sees. Both refused a training step
+// for an hour (soak, seed 20260712, 06:25 on 2026-12-04).
+func TestCrashesOfOtherHostsAreTakenIntoAccount(t *testing.T) {
+	failOnViolation(t)
+	neighbour, started := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	neighbour.Handle(start, isolator.Began{Attempt: "1", Fingerprint: "innocent", Upstream: "u1"})
+	commands := neighbour.Handle(start, isolator.Ended{Attempt: "1", End: isolator.EndCrashed})
+	reported := isolator.Imported{Suspects: commands[0].(isolator.Suspected).Suspects}
+	started.Handle(start, reported)
+	require.Positive(t, started.Suspicion("innocent"))
+
+	at := start.Add(time.Second)
+	proof := isolator.Imported{Proven: []codec.FlaggedFingerprint{{
+		Fingerprint: poison, ExpiresAt: at.Add(time.Hour), Upstreams: []identifier.UpstreamID{"u1", "u2"},
+	}}}
+	late := isolator.New(isolator.Config{})
+	late.Handle(at, proof)
+	late.Handle(at, reported)
+	for _, host := range []*isolator.Isolator{neighbour, started, late} {
+		host.Handle(at, proof)
+		require.Zero(t, host.Suspicion("innocent"), "the proof explains the crash of u1")
+	}
+
+	started.Handle(at, isolator.Imported{Suspects: []codec.FlaggedFingerprint{
+		{Fingerprint: "other", ExpiresAt: at.Add(time.Minute), Upstreams: []identifier.UpstreamID{"u3"}},
+		{Fingerprint: "innocent", ExpiresAt: at.Add(time.Minute), Upstreams: []identifier.UpstreamID{"u4"}},
+	}})
+	started.Handle(at, isolator.Began{Attempt: "2", Fingerprint: "innocent", Upstream: "u5"})
+	commands = started.Handle(at, isolator.Ended{Attempt: "2", End: isolator.EndCrashed})
+	require.IsType(t, isolator.Proved{}, commands[0])
+	require.True(t, commands[0].(isolator.Proved).Proven.Provisional, "u3 crashed without the request")
+}
+
 // Guards against a suspect that waits for those of another pool.
 func TestPoolsHaveLanesOfTheirOwn(t *testing.T) {
 	failOnViolation(t)
@@ -357,7 +395,8 @@
 	at := start.Add(time.Minute)
 	expires := at.Add(isolator.DefaultSuspicionExpiry)
 	require.Equal(t, []isolator.Command{isolator.Suspected{Suspects: []codec.FlaggedFingerprint{
-		{Fingerprint: "b", ExpiresAt: expires}, {Fingerprint: "e", ExpiresAt: expires},
+		{Fingerprint: "b", ExpiresAt: expires, Upstreams: []identifier.UpstreamID{"other"}},
+		{Fingerprint: "e", ExpiresAt: expires, Upstreams: []identifier.UpstreamID{"other"}},
 	}}}, i.Handle(at, isolator.Ended{Attempt: "b2", End: isolator.EndCrashed}), "a suspect beside others is not proven")
 	i.Handle(start, isolator.Began{Attempt: "a2", Fingerprint: "a", Upstream: "u"})
 	i.Handle(start, isolator.Ended{Attempt: "a2", End: isolator.EndAnswered})
