isolator: a common cause excuses what other hosts had in flight as well

Found in review: suspicions of other hosts were not compared for a common cause, so after the loss of a zone the requests that callers send again through other hosts would have waited to run alone, one after the other. Crashes that others report are now compared like the own ones; the new test fails without that (suspicion of all three requests stays).

--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -16,14 +16,18 @@
 	shareTolerance = 1e-9
 )
 
-// crash is the loss of one upstream with the fingerprints that were in flight on it.
+// crash is the loss of one upstream with the fingerprints that this host had in flight on it.
 type crash struct {
 	upstream     identifier.UpstreamID
 	at           time.Time
 	fingerprints map[identifier.Fingerprint]bool
-	// elsewhere holds what other hosts had in flight there; remote is set if this host had nothing.
+	// elsewhere holds what other hosts had in flight there.
 	elsewhere map[identifier.Fingerprint]bool
-	remote    bool
+}
+
+// ran tells whether any host had the fingerprint in flight there.
+func (c crash) ran(fingerprint identifier.Fingerprint) bool {
+	return c.fingerprints[fingerprint] || c.elsewhere[fingerprint]
 }
 
 // explanation is a crash that a proven fingerprint explains.
@@ -35,18 +39,20 @@
 // share is the suspicion that a crash adds to each of its fingerprints.
 func (c crash) share() float64 { return 1 / float64(len(c.fingerprints)) }
 
-// correlate compares a crash with the recent ones and returns the fingerprints of it that they excuse. One request cannot
-// explain crashes that it was no part of, so when a rack or a zone fails, what was in flight on only one of its upstreams
-// is not to blame. Without this, a failed zone would make hundreds of requests wait to run alone. One other crash is not
-// enough: while single upstreams die now and then, it would excuse a harmful request and cost a third upstream.
-func (i *Isolator) correlate(now time.Time, latest crash) map[identifier.Fingerprint]bool {
-	i.keepCrash(latest)
-	recent := slices.DeleteFunc(slices.Clone(i.crashes), func(c crash) bool { return c.remote || now.Sub(c.at) > i.config.Correlation })
+// correlate compares the recent crashes with each other and excuses fingerprints; it returns those of them that were not
+// excused before. One request cannot explain crashes that it was no part of, so when a rack or a zone fails, what was in
+// flight on only one of its upstreams is not to blame. Without this, a failed zone would make hundreds of requests wait to
+// run alone. One other crash is not enough: while single upstreams die now and then, it would excuse a harmful request and
+// cost a third upstream.
+func (i *Isolator) correlate(now time.Time) map[identifier.Fingerprint]bool {
+	recent := slices.DeleteFunc(slices.Clone(i.crashes), func(c crash) bool { return now.Sub(c.at) > i.config.Correlation })
 	excused := make(map[identifier.Fingerprint]bool)
-	for n, c := range recent {
-		for fingerprint := range c.fingerprints {
-			if crashedWithout(recent, c.upstream, fingerprint) >= commonCause && i.excuse(now, fingerprint) && n == len(recent)-1 {
-				excused[fingerprint] = true
+	for _, c := range recent {
+		for _, set := range []map[identifier.Fingerprint]bool{c.fingerprints, c.elsewhere} {
+			for fingerprint := range set {
+				if crashedWithout(recent, c.upstream, fingerprint) >= commonCause && i.excuse(now, fingerprint) {
+					excused[fingerprint] = true
+				}
 			}
 		}
 	}
@@ -57,7 +63,7 @@
 func crashedWithout(crashes []crash, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) int {
 	others := make(map[identifier.UpstreamID]bool)
 	for _, c := range crashes {
-		if c.upstream != upstream && !c.fingerprints[fingerprint] {
+		if c.upstream != upstream && !c.ran(fingerprint) {
 			others[c.upstream] = true
 		}
 	}
@@ -87,7 +93,7 @@
 		}
 	}
 	i.crashes = slices.DeleteFunc(i.crashes, func(c crash) bool {
-		if !c.fingerprints[proven] && !c.elsewhere[proven] && (now.Sub(c.at) > sameCrash || !slices.Contains(upstreams, c.upstream)) {
+		if !c.ran(proven) && (now.Sub(c.at) > sameCrash || !slices.Contains(upstreams, c.upstream)) {
 			return false
 		}
 		for fingerprint := range c.fingerprints {
@@ -102,7 +108,7 @@
 // unrest tells whether an upstream crashed lately while the fingerprint was not on it.
 func (i *Isolator) unrest(now time.Time, fingerprint identifier.Fingerprint) bool {
 	return slices.ContainsFunc(i.crashes, func(c crash) bool {
-		return !c.fingerprints[fingerprint] && !c.elsewhere[fingerprint] && now.Sub(c.at) <= unrestPeriod
+		return !c.ran(fingerprint) && now.Sub(c.at) <= unrestPeriod
 	})
 }
 
@@ -114,7 +120,7 @@
 func (i *Isolator) noteElsewhere(now time.Time, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) {
 	at := slices.IndexFunc(i.crashes, func(c crash) bool { return c.upstream == upstream && now.Sub(c.at) <= sameCrash })
 	if at < 0 {
-		i.keepCrash(crash{upstream: upstream, at: now, remote: true})
+		i.keepCrash(crash{upstream: upstream, at: now, elsewhere: make(map[identifier.Fingerprint]bool)})
 		at = len(i.crashes) - 1
 	}
 	if i.crashes[at].elsewhere == nil {
@@ -123,6 +129,18 @@
 	i.crashes[at].elsewhere[fingerprint] = true
 }
 
+// withReports adds to a crash of this host what others have reported of it.
+func (i *Isolator) withReports(now time.Time, c crash) crash {
+	i.crashes = slices.DeleteFunc(i.crashes, func(reported crash) bool {
+		same := reported.upstream == c.upstream && now.Sub(reported.at) <= sameCrash && len(reported.fingerprints) == 0
+		if same {
+			c.elsewhere = reported.elsewhere
+		}
+		return same
+	})
+	return c
+}
+
 func (i *Isolator) keepCrash(c crash) {
 	i.crashes = append(i.crashes, c)
 	if len(i.crashes) > maxCrashes {
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -291,7 +291,8 @@
 		a.accounted = true
 		c.fingerprints[a.fingerprint] = true
 	}
-	explained := i.correlate(now, c)
+	i.keepCrash(i.withReports(now, c))
+	explained := i.correlate(now)
 	if i.isSuspect(now, ended.fingerprint) && !ended.shared && !explained[ended.fingerprint] {
 		return i.prove(now, ended.fingerprint)
 	}
@@ -369,6 +370,7 @@
 			s.expires = latest
 		}
 	}
+	i.correlate(now)
 }
 
 // importProven takes over proofs of other hosts; their expiry is bounded, because the clock of a host may be wrong.
--- a/service/isolator/isolator_test.go
+++ b/service/isolator/isolator_test.go
@@ -350,6 +350,25 @@
 	require.True(t, commands[0].(isolator.Proved).Proven.Provisional, "u3 crashed without the request")
 }
 
+// Guards against requests of a failed zone that wait to run alone when their callers come back through another host.
+func TestCommonCauseExcusesRequestsOfOtherHosts(t *testing.T) {
+	failOnViolation(t)
+	i := isolator.New(isolator.Config{})
+	report := func(fingerprint identifier.Fingerprint, upstream identifier.UpstreamID) {
+		i.Handle(start, isolator.Imported{Suspects: []codec.FlaggedFingerprint{
+			{Fingerprint: fingerprint, ExpiresAt: start.Add(time.Minute), Upstreams: []identifier.UpstreamID{upstream}},
+		}})
+	}
+	report("a", "u1")
+	report("b", "u2")
+	require.Positive(t, i.Suspicion("a"))
+	report("c", "u3")
+	for _, fingerprint := range []identifier.Fingerprint{"a", "b", "c"} {
+		require.Zero(t, i.Suspicion(fingerprint), fingerprint)
+	}
+	require.Equal(t, []isolator.Command{isolator.Proceed{Ticket: 1}}, i.Handle(start, isolator.Asked{Ticket: 1, Fingerprint: "a"}))
+}
+
 // Guards against a suspect that waits for those of another pool.
 func TestPoolsHaveLanesOfTheirOwn(t *testing.T) {
 	failOnViolation(t)
