isolator: a proof clears only what ran beside it on the same host

Change: that clearing is gone, and its test with it; proofs carry no upstreams. Crashes that other hosts report still make a first proof provisional. An attempt that began as a suspect and crashes alone proves its request, even if another proof has taken the suspicion back meanwhile.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -660,8 +660,8 @@
 	// Provisional The proof is refused for a short time only, since upstreams also crashed without the request.
 	Provisional bool `json:"provisional,omitempty"`
 
-	// Upstreams The upstreams that crashed while they ran the request.
-	Upstreams []UpstreamID `json:"upstreams,omitempty"`
+	// Upstream Of a suspect, the upstream that crashed while it ran the request.
+	Upstream UpstreamID `json:"upstream,omitempty"`
 }
 
 // GroupID defines model for GroupID.
--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -30,12 +30,6 @@
 	return c.fingerprints[fingerprint] || c.elsewhere[fingerprint]
 }
 
-// explanation is a crash that a proven fingerprint explains.
-type explanation struct {
-	upstream identifier.UpstreamID
-	at       time.Time
-}
-
 // share is the suspicion that a crash adds to each of its fingerprints.
 func (c crash) share() float64 { return 1 / float64(len(c.fingerprints)) }
 
@@ -80,20 +74,12 @@
 	return true
 }
 
-// clear takes back the suspicion of those that were in flight with a proven fingerprint: it explains their crashes. The
-// proven one may have run there for another host, which then names the upstreams.
-func (i *Isolator) clear(now time.Time, proven identifier.Fingerprint, upstreams []identifier.UpstreamID) {
-	i.explained = slices.DeleteFunc(i.explained, func(e explanation) bool { return now.Sub(e.at) > sameCrash })
-	for _, upstream := range upstreams {
-		i.explained = append(i.explained, explanation{upstream, now})
-	}
-	for _, s := range i.suspects {
-		if s.source != "" && i.isExplained(now, s.source) {
-			s.suspicion = 0
-		}
-	}
+// clear takes back the suspicion of those that this host had in flight with a proven fingerprint: it explains their
+// crashes. What other hosts had in flight is not cleared: a proof can be wrong, and would then clear the harmful request
+// on all of them (soak, seed 20260712, 06:55 on 2026-12-04: five upstreams lost).
+func (i *Isolator) clear(proven identifier.Fingerprint) {
 	i.crashes = slices.DeleteFunc(i.crashes, func(c crash) bool {
-		if !c.ran(proven) && (now.Sub(c.at) > sameCrash || !slices.Contains(upstreams, c.upstream)) {
+		if !c.fingerprints[proven] {
 			return false
 		}
 		for fingerprint := range c.fingerprints {
@@ -112,10 +98,6 @@
 	})
 }
 
-func (i *Isolator) isExplained(now time.Time, upstream identifier.UpstreamID) bool {
-	return slices.ContainsFunc(i.explained, func(e explanation) bool { return e.upstream == upstream && now.Sub(e.at) <= sameCrash })
-}
-
 // noteElsewhere remembers what another host had in flight at a crash, together with the own record of the same crash.
 func (i *Isolator) noteElsewhere(now time.Time, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) {
 	at := slices.IndexFunc(i.crashes, func(c crash) bool { return c.upstream == upstream && now.Sub(c.at) <= sameCrash })
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -56,14 +56,15 @@
 	waiting  []*ticket
 	isolated map[Ticket]identifier.PoolName
 	crashes  []crash
-	// explained are the crashes that proofs of the last seconds explain, for suspicions that arrive later.
-	explained []explanation
 }
 
 type attempt struct {
 	id          identifier.AttemptID
 	fingerprint identifier.Fingerprint
 	upstream    identifier.UpstreamID
+	// suspect is set when the fingerprint was a suspect as the attempt began. A proof of another request, which may be
+	// wrong, can take the suspicion back while the attempt runs; its crash is a proof nevertheless.
+	suspect bool
 	// shared is set when a request with another fingerprint was on the upstream at any time of the attempt.
 	shared bool
 	// accounted is set when a crash of the upstream has already been attributed to this attempt.
@@ -78,8 +79,6 @@
 
 type suspect struct {
 	suspicion float64
-	// source is the upstream whose crash another host reported; empty for a suspicion of this host.
-	source identifier.UpstreamID
 	// doubted is set once a provisional proof has ended; the next proof is not provisional.
 	doubted bool
 	aborts  int
@@ -226,7 +225,7 @@
 	_, proven := i.ProvenUntil(now, e.Fingerprint)
 	asserter.Check(asserter.ProvenRequestNeverSent, !proven,
 		"attempt %s on %s has the proven fingerprint %s", e.Attempt, e.Upstream, e.Fingerprint)
-	started := &attempt{id: e.Attempt, fingerprint: e.Fingerprint, upstream: e.Upstream}
+	started := &attempt{id: e.Attempt, fingerprint: e.Fingerprint, upstream: e.Upstream, suspect: i.isSuspect(now, e.Fingerprint)}
 	for _, other := range i.on(e.Upstream) {
 		if other.fingerprint != e.Fingerprint {
 			other.shared = true
@@ -293,7 +292,7 @@
 	}
 	i.keepCrash(i.withReports(now, c))
 	explained := i.correlate(now)
-	if i.isSuspect(now, ended.fingerprint) && !ended.shared && !explained[ended.fingerprint] {
+	if (ended.suspect || i.isSuspect(now, ended.fingerprint)) && !ended.shared && !explained[ended.fingerprint] {
 		return i.prove(now, ended.fingerprint)
 	}
 	var suspects []codec.FlaggedFingerprint
@@ -301,7 +300,7 @@
 		if !explained[fingerprint] {
 			i.suspect(now, fingerprint, c.share())
 			suspects = append(suspects, codec.FlaggedFingerprint{
-				Fingerprint: fingerprint, ExpiresAt: now.Add(i.config.SuspicionExpiry), Upstreams: []identifier.UpstreamID{ended.upstream},
+				Fingerprint: fingerprint, ExpiresAt: now.Add(i.config.SuspicionExpiry), Upstream: ended.upstream,
 			})
 		}
 	}
@@ -314,7 +313,6 @@
 func (i *Isolator) suspect(now time.Time, fingerprint identifier.Fingerprint, share float64) {
 	s := i.record(now, fingerprint)
 	s.suspicion += share
-	s.source = ""
 }
 
 // record returns what is kept of a fingerprint that was part of a crash.
@@ -338,13 +336,7 @@
 	if s := i.suspects[fingerprint]; (s == nil || !s.doubted) && i.unrest(now, fingerprint) {
 		p = proof{until: now.Add(i.config.ProvisionalExpiry), provisional: true}
 	}
-	announced := flagged(fingerprint, p)
-	for _, c := range i.crashes {
-		if c.fingerprints[fingerprint] && now.Sub(c.at) <= sameCrash {
-			announced.Upstreams = append(announced.Upstreams, c.upstream)
-		}
-	}
-	return append([]Command{Proved{announced}}, i.keepProven(now, announced, p)...)
+	return append([]Command{Proved{flagged(fingerprint, p)}}, i.keepProven(fingerprint, p)...)
 }
 
 func flagged(fingerprint identifier.Fingerprint, p proof) codec.FlaggedFingerprint {
@@ -356,16 +348,14 @@
 func (i *Isolator) importSuspects(now time.Time, list []codec.FlaggedFingerprint) {
 	latest := now.Add(i.config.SuspicionExpiry)
 	for _, f := range list {
-		var source identifier.UpstreamID
-		if len(f.Upstreams) > 0 {
-			source = f.Upstreams[0]
-			i.noteElsewhere(now, source, f.Fingerprint)
+		if f.Upstream != "" {
+			i.noteElsewhere(now, f.Upstream, f.Fingerprint)
 		}
-		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) || i.isExplained(now, source) {
+		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) {
 			continue
 		}
 		s := i.record(now, f.Fingerprint)
-		s.suspicion, s.source, s.expires = 1, source, f.ExpiresAt
+		s.suspicion, s.expires = 1, f.ExpiresAt
 		if s.expires.After(latest) {
 			s.expires = latest
 		}
@@ -384,17 +374,16 @@
 		}
 		if now.Before(until) && until.After(i.proven[p.Fingerprint].until) {
 			imported := proof{until: until, provisional: p.Provisional}
-			commands = append(commands, i.keepProven(now, p, imported)...)
+			commands = append(commands, i.keepProven(p.Fingerprint, imported)...)
 		}
 	}
 	return commands
 }
 
 // keepProven refuses a fingerprint from now on and stops its running attempts before they crash more upstreams.
-func (i *Isolator) keepProven(now time.Time, f codec.FlaggedFingerprint, p proof) []Command {
-	fingerprint := f.Fingerprint
+func (i *Isolator) keepProven(fingerprint identifier.Fingerprint, p proof) []Command {
 	delete(i.suspects, fingerprint)
-	i.clear(now, fingerprint, f.Upstreams)
+	i.clear(fingerprint)
 	i.proven[fingerprint] = p
 	if len(i.proven) > i.config.MaxProven {
 		oldest := slices.MinFunc(i.Proven(), func(a, b codec.FlaggedFingerprint) int { return a.ExpiresAt.Compare(b.ExpiresAt) })
