presenter: views do not follow an older clock

The screen kept the newer one, but the invariant counted.

Change: a view takes the latest time that was asked for. The new test fails without it.

--- a/service/presenter/board_test.go
+++ b/service/presenter/board_test.go
@@ -89,3 +89,16 @@
 		require.Equal(t, *x, *y)
 	}
 }
+
+// Guards against a view that goes back since a tick from before a pause carries an older time than the last request: the
+// invariant failed with "snapshot (6, 5) would follow (6, 6)" (soak, seed 20260712, 06:52 on 2026-12-04).
+func TestViewsDoNotFollowAnOlderClock(t *testing.T) {
+	defer failOnViolation(t)()
+	start := time.Unix(1000, 0)
+	p := &Presenter{}
+	p.schedule.Store(&[]codec.Snapshot{
+		{Epoch: 6, Sequence: 5, ShowAt: start}, {Epoch: 6, Sequence: 6, ShowAt: start.Add(time.Second)},
+	})
+	require.EqualValues(t, 6, p.View(start.Add(2*time.Second)).Shown.Sequence)
+	require.EqualValues(t, 6, p.View(start.Add(500*time.Millisecond)).Shown.Sequence)
+}
--- a/service/presenter/presenter.go
+++ b/service/presenter/presenter.go
@@ -63,6 +63,9 @@
 
 	mu   sync.Mutex
 	last *codec.Snapshot
+	// viewed is the latest time of a view. A tick that was taken before a pause of the process comes with an older time
+	// than the requests that were answered meanwhile.
+	viewed time.Time
 }
 
 // New returns a presenter and registers its handlers.
@@ -83,6 +86,10 @@
 func (p *Presenter) View(now time.Time) server.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Before(p.viewed) {
+		now = p.viewed
+	}
+	p.viewed = now
 	shown, pending := showing(*p.schedule.Load(), now)
 	if shown == nil || !checkOrder(p.last, shown) {
 		shown = p.last
