--- a/tester/soak/cluster_test.go
+++ b/tester/soak/cluster_test.go
@@ -186,9 +186,7 @@
 	if status != crashStatus {
 		c.violate("%s ended with status %d", engine.name, status)
 	}
-	// The process that starts next registers anew and is not leaving.
 	c.ledger.read(engine)
-	c.ledger.unmark(engine)
 	time.Sleep(500 * time.Millisecond)
 	c.mu.Lock()
 	closed = c.closed
--- a/tester/soak/ledger_test.go
+++ b/tester/soak/ledger_test.go
@@ -90,6 +90,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	marked, leaving := l.marked[engine.name]
+	// A process that started after the mark, such as after a crash, has registered anew and is not leaving.
+	leaving = leaving && engine.started().Before(marked)
 	published := l.publishedAt(marked)
 	runs, err := l.newRuns(engine.name)
 	if err != nil {
--- a/tester/soak/process_test.go
+++ b/tester/soak/process_test.go
@@ -254,8 +254,10 @@
 	}
 }
 
-func (p *process) uptime() time.Duration {
+func (p *process) started() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.startedAt)
+	return p.startedAt
 }
+
+func (p *process) uptime() time.Duration { return time.Since(p.started()) }
