--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -99,22 +99,23 @@
 }
 
 // noteElsewhere remembers what another host had in flight at a crash, together with the own record of the same crash.
-func (i *Isolator) noteElsewhere(now time.Time, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) {
-	at := slices.IndexFunc(i.crashes, func(c crash) bool { return c.upstream == upstream && now.Sub(c.at) <= sameCrash })
-	if at < 0 {
-		i.keepCrash(crash{upstream: upstream, at: now, elsewhere: make(map[identifier.Fingerprint]bool)})
-		at = len(i.crashes) - 1
+// Reports can be a minute old: a host that starts gets those that the others still hold.
+func (i *Isolator) noteElsewhere(at time.Time, upstream identifier.UpstreamID, fingerprint identifier.Fingerprint) {
+	index := slices.IndexFunc(i.crashes, func(c crash) bool { return c.upstream == upstream && at.Sub(c.at).Abs() <= sameCrash })
+	if index < 0 {
+		i.keepCrash(crash{upstream: upstream, at: at, elsewhere: make(map[identifier.Fingerprint]bool)})
+		index = len(i.crashes) - 1
 	}
-	if i.crashes[at].elsewhere == nil {
-		i.crashes[at].elsewhere = make(map[identifier.Fingerprint]bool)
+	if i.crashes[index].elsewhere == nil {
+		i.crashes[index].elsewhere = make(map[identifier.Fingerprint]bool)
 	}
-	i.crashes[at].elsewhere[fingerprint] = true
+	i.crashes[index].elsewhere[fingerprint] = true
 }
 
 // withReports adds to a crash of this host what others have reported of it.
 func (i *Isolator) withReports(now time.Time, c crash) crash {
 	i.crashes = slices.DeleteFunc(i.crashes, func(reported crash) bool {
-		same := reported.upstream == c.upstream && now.Sub(reported.at) <= sameCrash && len(reported.fingerprints) == 0
+		same := reported.upstream == c.upstream && now.Sub(reported.at).Abs() <= sameCrash && len(reported.fingerprints) == 0
 		if same {
 			c.elsewhere = reported.elsewhere
 		}
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -349,7 +349,12 @@
 	latest := now.Add(i.config.SuspicionExpiry)
 	for _, f := range list {
 		if f.Upstream != "" {
-			i.noteElsewhere(now, f.Upstream, f.Fingerprint)
+			// The sender's clock may be ahead, so a crash is not taken for later than its report.
+			at := f.ExpiresAt.Add(-i.config.SuspicionExpiry)
+			if at.After(now) {
+				at = now
+			}
+			i.noteElsewhere(at, f.Upstream, f.Fingerprint)
 		}
 		if _, proven := i.ProvenUntil(now, f.Fingerprint); proven || i.isSuspect(now, f.Fingerprint) {
 			continue
--- a/service/isolator/isolator_test.go
+++ b/service/isolator/isolator_test.go
@@ -374,6 +374,23 @@
 	require.Equal(t, []isolator.Command{isolator.Proceed{Ticket: 1}}, i.Handle(start, isolator.Asked{Ticket: 1, Fingerprint: "a"}))
 }
 
+// Guards against a harmful request that is excused on a host that has just started: the reports of the last minute that it gets
+// from the others are no crashes of this moment (soak, seed 77, 07:03 on 2026-12-04: three engines lost twice).
+func TestOldReportsAreNoCommonCause(t *testing.T) {
+	failOnViolation(t)
+	i := isolator.New(isolator.Config{})
+	report := func(upstream identifier.UpstreamID, age time.Duration) codec.FlaggedFingerprint {
+		return codec.FlaggedFingerprint{
+			Fingerprint: identifier.Fingerprint("of " + upstream), ExpiresAt: start.Add(isolator.DefaultSuspicionExpiry - age), Upstream: upstream,
+		}
+	}
+	i.Handle(start, isolator.Imported{Suspects: []codec.FlaggedFingerprint{report("u1", 20*time.Second), report("u2", 10*time.Second)}})
+	i.Handle(start, isolator.Began{Attempt: "1", Fingerprint: poison, Upstream: "u3"})
+	i.Handle(start, isolator.Ended{Attempt: "1", End: isolator.EndCrashed})
+	require.Positive(t, i.Suspicion(poison))
+	require.Equal(t, []isolator.Command{isolator.Isolate{Ticket: 1}}, i.Handle(start, isolator.Asked{Ticket: 1, Fingerprint: poison}))
+}
+
 // Guards against a suspect that waits for those of another pool.
 func TestPoolsHaveLanesOfTheirOwn(t *testing.T) {
 	failOnViolation(t)
