--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -107,18 +107,24 @@
 	Score      func(connector.PlainResponse) string
 }
 
+// Upstreams holds the clients of the upstreams' protocols.
+type Upstreams struct {
+	Plain   connector.PlainServices
+	Streams connector.Streams
+	Runner  connector.ItemRunner
+	Orders  connector.WeightOrders
+}
+
 // Config configures a Host.
 type Config struct {
 	Settings Settings
 	Log      *logger.Logger
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
-	Plain    connector.PlainServices
-	Streams  connector.Streams
-	Runner   connector.ItemRunner
-	Orders   connector.WeightOrders
 	Platform Platform
-	NewFront func(Parts) Front
+	// NewUpstreams returns the clients of the upstreams. They report what responses show about an upstream, without waiting.
+	NewUpstreams func(report func(identifier.UpstreamID, connector.Evidence)) Upstreams
+	NewFront     func(Parts) Front
 }
 
 // Host is one host with all its parts; New builds it and Run runs it.
@@ -217,13 +223,14 @@
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.dispatcher.ImportFlagged(proven, suspects) },
 	})
 	h.lister = lister.NewDriver(lister.DriverConfig{Timer: h.timer, Log: h.log, Pushed: true, OnPublish: h.publishUpstreams})
+	upstreams := h.config.NewUpstreams(h.lister.Report)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
-		Plain: h.config.Plain, Streams: h.config.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
+		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
 		Limiter:   limiterConfig,
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
-	h.buildBatcherAndPlacer()
+	h.buildBatcherAndPlacer(upstreams)
 	h.buildSpreaders()
 	h.front = h.config.NewFront(Parts{
 		Match: h.match, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
--- a/service/assembler/assembler_test.go
+++ b/service/assembler/assembler_test.go
@@ -16,6 +16,7 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/service/assembler"
+	"celerygap.example/service/connector"
 	"celerygap.example/service/storekeeper"
 )
 
@@ -66,6 +67,9 @@
 				return "", 0, nil
 			},
 		},
+		NewUpstreams: func(func(identifier.UpstreamID, connector.Evidence)) assembler.Upstreams {
+			return assembler.Upstreams{}
+		},
 		NewFront: func(assembler.Parts) assembler.Front { return front },
 	})
 	require.NoError(t, err)
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -42,11 +42,11 @@
 // and a smaller budget would refuse requests when a few engines are lost at the same time.
 var limiterConfig = limiter.Config{RetryFraction: 0.5, RetryFloor: 50}
 
-func (h *Host) buildBatcherAndPlacer() {
+func (h *Host) buildBatcherAndPlacer(upstreams Upstreams) {
 	settings := h.config.Settings
 	h.batcher = batcher.NewDriver(batcher.DriverConfig{
 		Self: h.prober.Self(), Incarnation: identifier.Incarnation(h.timer.Now().UnixMilli()), Keeper: batchkeeper.New(h.relayedStore()),
-		Runner: h.config.Runner, Rewards: h.dispatcher, MakeReward: h.config.Platform.MakeReward, Score: h.config.Platform.Score,
+		Runner: upstreams.Runner, Rewards: h.dispatcher, MakeReward: h.config.Platform.MakeReward, Score: h.config.Platform.Score,
 		Match: func(host, path string) (codec.Entry, bool) {
 			entry, found, _ := h.match(host, path)
 			return entry, found
@@ -55,7 +55,7 @@
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults,
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
-		Store: h.config.Store, Orders: h.config.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
+		Store: h.config.Store, Orders: upstreams.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions,
 	})
 }
--- a/service/connector/upstream.go
+++ b/service/connector/upstream.go
@@ -20,6 +20,8 @@
 	EvidenceRefused Evidence = "refused"
 	// EvidenceLeaving means that the upstream refused before it started the request because it is leaving.
 	EvidenceLeaving Evidence = "leaving"
+	// EvidenceAnnouncedLeaving means that a response of the upstream stated that the upstream is leaving.
+	EvidenceAnnouncedLeaving Evidence = "announced_leaving"
 	// EvidenceConnectionLost means that the connection ended after the request was sent.
 	EvidenceConnectionLost Evidence = "connection_lost"
 )
--- a/service/lister/lister.go
+++ b/service/lister/lister.go
@@ -27,6 +27,9 @@
 	restartThreshold = 3
 	// noRevision is lower than that of any list.
 	noRevision = -1
+	// announcementMemory is how long the announcement of an upstream is remembered while the list does not contain the
+	// upstream: an entry that lapsed during an outage of the store comes back within seconds.
+	announcementMemory = 5 * time.Minute
 	// failureResetTime is the time since the last failure after which an outage starts with Config.FirstOutage again.
 	failureResetTime = time.Minute
 )
@@ -97,6 +100,25 @@
 	// lowerLists counts the lists in a row whose revision is lower than the current one.
 	lowerLists int
 	hosts      map[identifier.UpstreamID]*host
+	// announcements holds the upstreams that stated in a response that they are leaving, listed or not.
+	announcements map[identifier.UpstreamID]announcement
+}
+
+// announcement records that an upstream stated that it is leaving.
+type announcement struct {
+	// startedAt identifies the process that stated it; it is zero if the list did not contain the upstream.
+	startedAt time.Time
+	// lastSeen is when the upstream last stated it or was last listed.
+	lastSeen time.Time
+}
+
+// by reports whether the process of a list entry stated that it is leaving. If its start was not known at that time, any
+// process that had started by then counts.
+func (a announcement) by(listed codec.ListedHost) bool {
+	if a.startedAt.IsZero() {
+		return !listed.StartedAt.After(a.lastSeen)
+	}
+	return listed.StartedAt.Equal(a.startedAt)
 }
 
 type host struct {
@@ -110,11 +132,16 @@
 	refusals int
 	// leavingUntil is how long the host counts as leaving because of refusals.
 	leavingUntil time.Time
+	// announced is set once the host has stated that it is leaving. Neither the list nor later responses revoke it.
+	announced bool
 }
 
 // New returns a Lister that knows no hosts.
 func New(config Config) *Lister {
-	return &Lister{config: config.withDefaults(), revision: noRevision, hosts: make(map[identifier.UpstreamID]*host)}
+	return &Lister{
+		config: config.withDefaults(), revision: noRevision, hosts: make(map[identifier.UpstreamID]*host),
+		announcements: make(map[identifier.UpstreamID]announcement),
+	}
 }
 
 // Handle applies one event; it returns a Publish if a list was accepted or the state of an upstream changed.
@@ -139,7 +166,7 @@
 	var commands []Command
 	next := make(map[identifier.UpstreamID]*host, len(list.Hosts))
 	for _, listed := range list.Hosts {
-		h, startedLeaving := l.merge(listed)
+		h, startedLeaving := l.merge(now, listed)
 		next[listed.ID] = h
 		if startedLeaving {
 			commands = append(commands, LogLeaving{ID: listed.ID})
@@ -165,10 +192,11 @@
 
 // merge combines a list entry with what is known of its host, and reports whether the host is newly listed as leaving. A
 // host once listed as leaving stays so while its entry remains in the list with the same address and start.
-func (l *Lister) merge(listed codec.ListedHost) (h *host, startedLeaving bool) {
+func (l *Lister) merge(now time.Time, listed codec.ListedHost) (h *host, startedLeaving bool) {
+	announced := l.recallAnnouncement(now, listed)
 	known, ok := l.hosts[listed.ID]
 	if !ok || known.listed.Address != listed.Address || !known.listed.StartedAt.Equal(listed.StartedAt) {
-		return &host{listed: listed}, listed.State == codec.HostStateLeaving
+		return &host{listed: listed, announced: announced}, announced || listed.State == codec.HostStateLeaving
 	}
 	wasLeaving := known.listed.State == codec.HostStateLeaving
 	known.listed = listed
@@ -179,6 +207,22 @@
 	return known, !wasLeaving && listed.State == codec.HostStateLeaving
 }
 
+// recallAnnouncement reports whether the process of a list entry stated that it is leaving. The announcement of an earlier
+// process with the same id is forgotten.
+func (l *Lister) recallAnnouncement(now time.Time, listed codec.ListedHost) bool {
+	known, ok := l.announcements[listed.ID]
+	switch {
+	case !ok:
+		return false
+	case !known.by(listed):
+		delete(l.announcements, listed.ID)
+		return false
+	default:
+		l.announcements[listed.ID] = announcement{startedAt: listed.StartedAt, lastSeen: now}
+		return true
+	}
+}
+
 // restore ends an outage and a leaving state that follows from refusals. The count of failures stays, so that the outage
 // after another failure is longer.
 func (h *host) restore() {
@@ -189,6 +233,9 @@
 
 func (l *Lister) report(now time.Time, e EvidenceReported) []Command {
 	h, ok := l.hosts[e.ID]
+	if e.Evidence == connector.EvidenceAnnouncedLeaving {
+		l.recordAnnouncement(now, e.ID, h)
+	}
 	if !ok {
 		return nil
 	}
@@ -204,6 +251,15 @@
 	return commands
 }
 
+// recordAnnouncement remembers that an upstream stated that it is leaving; h is nil if the list does not contain it.
+func (l *Lister) recordAnnouncement(now time.Time, id identifier.UpstreamID, h *host) {
+	stated := announcement{lastSeen: now}
+	if h != nil {
+		stated.startedAt = h.listed.StartedAt
+	}
+	l.announcements[id] = stated
+}
+
 func (l *Lister) apply(now time.Time, h *host, evidence connector.Evidence) {
 	switch evidence {
 	case connector.EvidenceResponded:
@@ -216,6 +272,8 @@
 		if h.refusals >= leavingRefusals {
 			h.leavingUntil = now.Add(l.config.LeavingHold)
 		}
+	case connector.EvidenceAnnouncedLeaving:
+		h.announced = true
 	case connector.EvidenceRefused:
 		// A full engine refuses as well, so a refusal alone shows only that the upstream is alive.
 		h.outUntil = time.Time{}
@@ -243,6 +301,11 @@
 }
 
 func (l *Lister) tick(now time.Time) []Command {
+	for id, stated := range l.announcements {
+		if _, listed := l.hosts[id]; !listed && now.Sub(stated.lastSeen) > announcementMemory {
+			delete(l.announcements, id)
+		}
+	}
 	changed := false
 	for _, h := range l.hosts {
 		changed = h.expire(now) || changed
@@ -271,7 +334,7 @@
 func (h *host) usable(now time.Time) bool { return !now.Before(h.outUntil) }
 
 func (h *host) leaving(now time.Time) bool {
-	return h.listed.State == codec.HostStateLeaving || now.Before(h.leavingUntil)
+	return h.listed.State == codec.HostStateLeaving || h.announced || now.Before(h.leavingUntil)
 }
 
 func (l *Lister) publish(now time.Time) Publish {
