translator, exchanger: responses without end are bounded in size at each place

Cause: a header could take 10 MB (net/http's default), a body 64 MiB in a process of 184 MB, and the limit of an event's line was checked only after the whole line had been read; an event of many lines and a text of many events had no limit at all.

A run whose text is too large is discarded and the engine is paused; the item does not count it as a failure of its own.

Tests: 14 places at which bytes may come without end, fast and a byte at a time, for plain calls, items, streams and reports; the budget. With the limits for headers and events raised, 9 of the 14 fail.

--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -266,6 +266,11 @@
 		r.engine.pause(now, fullPause)
 	case connector.FailureBindingMismatch, connector.FailureTruncated:
 		it.notBefore = now.Add(runRetryDelay)
+	case connector.FailureTooLarge:
+		// No text of an item is that long, so none of it is kept.
+		it.clear()
+		it.notBefore = now.Add(runRetryDelay)
+		r.engine.pause(now, failedPause)
 	default:
 		r.engine.pause(now, failedPause)
 	}
--- /dev/null
+++ b/service/exchanger/budget.go
@@ -0,0 +1,68 @@
+package exchanger
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"celerygap.example/lib/identifier"
+)
+
+// readStep is how much of a body is read before more memory is reserved. A body up to this size is not counted: there are
+// at most as many as requests in flight.
+const readStep = identifier.Bytes(64 << 10)
+
+var (
+	errBodyTooLarge    = errors.New("response body exceeds the limit")
+	errBudgetExhausted = errors.New("response bodies take up all of the memory reserved for them")
+)
+
+// Budget bounds the memory of the response bodies that are being read at the same time. Without it, a few bodies without end
+// would use up the memory of the process before any of them reaches its own limit.
+type Budget struct {
+	limit identifier.Bytes
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit identifier.Bytes) *Budget { return &Budget{limit: limit} }
+
+// Used returns the bytes that are reserved.
+func (b *Budget) Used() identifier.Bytes { return identifier.Bytes(b.used.Load()) }
+
+func (b *Budget) reserve(size identifier.Bytes) bool {
+	if identifier.Bytes(b.used.Add(int64(size))) <= b.limit {
+		return true
+	}
+	b.used.Add(-int64(size))
+	return false
+}
+
+// ReadBody reads a body of at most limit bytes to its end. It returns an error that IsTooLarge recognizes if the body, or all
+// bodies that are read with the budget together, are larger.
+func (b *Budget) ReadBody(body io.Reader, limit identifier.Bytes) ([]byte, error) {
+	var reserved identifier.Bytes
+	defer func() { b.used.Add(-int64(reserved)) }()
+	var text []byte
+	for {
+		step := min(readStep, limit+1-identifier.Bytes(len(text)))
+		chunk, err := io.ReadAll(io.LimitReader(body, int64(step)))
+		text = append(text, chunk...)
+		switch {
+		case err != nil:
+			return nil, err
+		case identifier.Bytes(len(text)) > limit:
+			return nil, errBodyTooLarge
+		case identifier.Bytes(len(chunk)) < step:
+			return text, nil
+		case !b.reserve(readStep):
+			return nil, errBudgetExhausted
+		}
+		reserved += readStep
+	}
+}
+
+// IsTooLarge reports whether ReadBody failed because of the size of the body.
+func IsTooLarge(err error) bool {
+	return errors.Is(err, errBodyTooLarge) || errors.Is(err, errBudgetExhausted)
+}
--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"celerygap.example/lib/annotator"
+	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
 )
 
@@ -21,6 +22,7 @@
 	DefaultDialTimeout    = time.Second
 	DefaultIdleTimeout    = 30 * time.Second
 	DefaultIdlePerAddress = 64
+	DefaultMaxHeader      = identifier.Bytes(64 << 10)
 )
 
 const (
@@ -36,6 +38,8 @@
 	IdleTimeout time.Duration
 	// IdlePerAddress bounds the idle connections to one address.
 	IdlePerAddress int
+	// MaxHeader bounds the header of a response, informational responses included.
+	MaxHeader identifier.Bytes
 	// KeepAlive sets the TCP keep-alive probes; the zero value means the defaults of package net.
 	KeepAlive net.KeepAliveConfig
 }
@@ -74,6 +78,9 @@
 	if config.IdlePerAddress <= 0 {
 		config.IdlePerAddress = DefaultIdlePerAddress
 	}
+	if config.MaxHeader <= 0 {
+		config.MaxHeader = DefaultMaxHeader
+	}
 	return config
 }
 
@@ -86,6 +93,8 @@
 		DisableKeepAlives:   singleUse,
 		IdleConnTimeout:     config.IdleTimeout,
 		MaxIdleConnsPerHost: config.IdlePerAddress,
+		// An upstream in trouble may send bytes without end where a header is due.
+		MaxResponseHeaderBytes: int64(config.MaxHeader),
 	}
 }
 
