prober: a starting host requests a second member list

Cause: on the large site 165 hosts start within 0.3 s. Each gets its complete list from a seed at once, when the seed itself knows only those that came first; the rest spreads by six updates a message. Hosts with half of the members elect several watchers and reviewers.

Change: one second after the first list, a host requests a second one from a seed.

--- a/service/prober/driver.go
+++ b/service/prober/driver.go
@@ -76,8 +76,9 @@
 }
 
 type view struct {
-	self codec.Member
-	live []codec.Member
+	self   codec.Member
+	live   []codec.Member
+	joined bool
 }
 
 // request is an event with the channel for its result; the channel is nil for events without a result.
@@ -116,6 +117,9 @@
 // Live returns the hosts that are believed alive, this one included until it leaves, in order of id.
 func (d *Driver) Live() []codec.Member { return d.view.Load().live }
 
+// Joined reports whether another host has sent a complete list of the members; until then Live may lack most of them.
+func (d *Driver) Joined() bool { return d.view.Load().joined }
+
 // Changes returns a channel that gets a value after the live hosts changed; it has one reader.
 func (d *Driver) Changes() <-chan struct{} { return d.changes }
 
@@ -206,7 +210,7 @@
 	case Reply, Relay:
 		r.result <- c
 	case Publish:
-		d.view.Store(&view{self: c.Self, live: c.Live})
+		d.view.Store(&view{self: c.Self, live: c.Live, joined: c.Joined})
 		select {
 		case d.changes <- struct{}{}:
 		default:
--- a/service/prober/events.go
+++ b/service/prober/events.go
@@ -83,6 +83,8 @@
 	Publish struct {
 		Self codec.Member
 		Live []codec.Member
+		// Joined is set once another host has sent a complete member list.
+		Joined bool
 	}
 	// Changed reports a change of state of one member, for the log.
 	Changed struct {
--- a/service/prober/prober.go
+++ b/service/prober/prober.go
@@ -17,6 +17,10 @@
 	// listInterval is the least time between the receipt of a complete member list and the request for another one when a
 	// host reconnects; with 360 hosts, a list has 45 kB.
 	listInterval = 15 * time.Second
+	// secondListDelay is the time between the receipt of the first member list and the request for a second one. Hosts that
+	// start together get lists that lack those that reached the seeds later, and updates would take many seconds to spread
+	// what is missing.
+	secondListDelay = time.Second
 	// expiryInterval is how often the states of all members are checked.
 	expiryInterval = 500 * time.Millisecond
 	// deadRetention is how long the entry of a host that is dead or has left is kept, so that late gossip does not add
@@ -110,7 +114,9 @@
 	// consecutiveMisses counts the probes in a row that got no response.
 	consecutiveMisses int
 	// memberListAt is when this host last received a complete member list.
-	memberListAt  time.Time
+	memberListAt time.Time
+	// secondListAt is when a starting host requests a second member list; it is zero before and after.
+	secondListAt  time.Time
 	joined        bool
 	lastTick      time.Time
 	nextProbe     time.Time
@@ -221,7 +227,7 @@
 		}
 	}
 	slices.SortFunc(live, byID)
-	p.emit(Publish{Self: p.self, Live: live})
+	p.emit(Publish{Self: p.self, Live: live, Joined: !p.memberListAt.IsZero()})
 }
 
 func isLive(state codec.MemberState) bool {
--- a/service/prober/prober_test.go
+++ b/service/prober/prober_test.go
@@ -1,6 +1,8 @@
 package prober_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -245,3 +247,24 @@
 	require.LessOrEqual(t, slow.suspicions, 28, "20 stalls; 33 suspicions if each missed probe counts")
 	require.Empty(t, slow.declaredDead)
 }
+
+// Guards against hosts of a large fleet that know only half of the others for many seconds after all of them started together:
+// the first list that a host gets lacks those that reached the seeds later, and a few updates in each message spread slowly.
+func TestFleetThatStartsTogetherAgreesSoon(t *testing.T) {
+	c := newCluster(0, 5, t.Errorf)
+	seeds := []string{"address-0", "address-1", "address-2"}
+	for i := range 180 {
+		h := &host{self: codec.Member{ID: identifier.HostID(fmt.Sprintf("h%03d", i)), Address: fmt.Sprintf("address-%d", i), Incarnation: 1}}
+		h.seen, h.proven, h.suspects = make(map[identifier.HostID]codec.Member), make(map[identifier.Fingerprint]bool), make(map[identifier.Fingerprint]bool)
+		h.declaredDead = make(map[identifier.HostID]time.Time)
+		h.Prober = prober.New(prober.Config{
+			Self: h.self, SeedAddresses: seeds, Rand: rand.New(rand.NewPCG(uint64(i), 3)), Timing: prober.QuickTiming,
+		})
+		c.hosts = append(c.hosts, h)
+	}
+	for _, h := range c.hosts {
+		c.after(time.Duration(c.rand.IntN(300))*time.Millisecond, func() { c.tick(h, h.generation) })
+	}
+	took := c.runUntilAgreed(20 * time.Second)
+	require.LessOrEqual(t, took, 2*time.Second)
+}
--- a/service/prober/probes.go
+++ b/service/prober/probes.go
@@ -25,6 +25,10 @@
 	if p.self.State != codec.MemberStateAlive {
 		return
 	}
+	if !p.secondListAt.IsZero() && !now.Before(p.secondListAt) {
+		p.secondListAt = time.Time{}
+		p.requestList(now)
+	}
 	if !now.Before(p.nextProbe) {
 		p.nextProbe = now.Add(p.jittered(p.config.Timing.ProbeInterval))
 		p.startProbe(now)
@@ -101,6 +105,18 @@
 	}
 }
 
+// requestList requests the complete member list from a seed, which starting hosts reach first.
+func (p *Prober) requestList(now time.Time) {
+	seeds := slices.DeleteFunc(slices.Clone(p.config.SeedAddresses), func(address string) bool { return address == p.self.Address })
+	if len(seeds) == 0 {
+		p.join(now)
+		return
+	}
+	message := p.message("")
+	message.Join = true
+	p.sendMessage(now, codec.Member{Address: seeds[p.config.Rand.IntN(len(seeds))]}, message)
+}
+
 // reconnect probes one host that is believed dead. If a partition is likely, it requests the complete member list: after
 // a partition between regions the incarnations of half of the fleet have changed, and a few updates per message would
 // take minutes to spread them.
@@ -182,6 +198,10 @@
 	p.consecutiveMisses = 0
 	if len(response.Members) > 0 {
 		p.joined = true
+		if p.memberListAt.IsZero() {
+			p.changed = true
+			p.secondListAt = now.Add(p.jittered(secondListDelay))
+		}
 		p.memberListAt = now
 	}
 	p.applyMessage(now, response)
