dispatcher: plain calls of a host keep to the same upstreams

Cause: each plain call had a random routing key.

Change: the key is the host, so its calls use the same upstreams up to the bound on their load.

--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -74,11 +74,15 @@
 	return slices.Contains(methods, method)
 }
 
-// callAttempts runs the attempts of a plain call. A random routing key distributes the calls evenly, since upstreams
-// hold no cached prefix of them.
+// plainRoute returns the routing of a plain call. Upstreams hold no cached prefix of it, so the key is this host: its calls use
+// the same few upstreams, up to the bound on their load, and find open connections there. The hosts of a zone spread over its
+// upstreams.
+func (j *job) plainRoute() router.Route { return router.Route{Prompt: string(j.config().Host)} }
+
+// callAttempts runs the attempts of a plain call.
 func (j *job) callAttempts(ctx context.Context, request connector.PlainRequest) (connector.PlainResponse, *refuser.Refusal) {
 	var response connector.PlainResponse
-	refusal := j.runAttempts(ctx, router.Route{Prompt: string(newAttemptID())}, func(ctx context.Context, p placement, a *lockedAttempt) error {
+	refusal := j.runAttempts(ctx, j.plainRoute(), func(ctx context.Context, p placement, a *lockedAttempt) error {
 		ctx, cancel := j.limitAttempt(ctx)
 		defer cancel()
 		received, err := j.config().Plain.Do(ctx, connector.PlainCall{
--- a/service/dispatcher/route_test.go
+++ b/service/dispatcher/route_test.go
@@ -52,6 +52,10 @@
 }
 
 func newRouteDispatcher(t *testing.T, script *scriptedClient, route codec.RouteSpec) *dispatcher.Dispatcher {
+	return newRouteDispatcherOf(t, "h", script, route)
+}
+
+func newRouteDispatcherOf(t *testing.T, host identifier.HostID, script *scriptedClient, route codec.RouteSpec) *dispatcher.Dispatcher {
 	t.Cleanup(asserter.SetHandler(func(name asserter.Invariant, detail string) { t.Errorf("invariant %s: %s", name, detail) }))
 	meters, err := meter.New()
 	require.NoError(t, err)
@@ -68,7 +72,7 @@
 		}},
 	}
 	return dispatcher.New(dispatcher.Config{
-		Host: "h", Zone: "z", Region: "r", Catalogue: &fakeCatalogue{catalogue}, Upstreams: upstreams, Plain: script, Streams: script,
+		Host: host, Zone: "z", Region: "r", Catalogue: &fakeCatalogue{catalogue}, Upstreams: upstreams, Plain: script, Streams: script,
 		Meter: meters, Timer: timer.New(timer.Config{}),
 	})
 }
@@ -189,3 +193,25 @@
 	require.Equal(t, codec.OutcomeUnknown, refusal.Outcome)
 	require.Equal(t, []string{"1", "2"}, cut.events)
 }
+
+// Guards against a new connection for nearly every call of a host with little traffic, whose calls would go to another upstream
+// each time, and against hosts that all prefer the same upstream.
+func TestHostKeepsToItsUpstream(t *testing.T) {
+	used := make(map[identifier.UpstreamID]int)
+	for i := range 40 {
+		script := &scriptedClient{plain: []func(context.Context, connector.PlainCall) (connector.PlainResponse, error){succeed}}
+		d := newRouteDispatcherOf(t, identifier.HostID(fmt.Sprint("h", i)), script, codec.RouteSpec{Idempotent: true, MaxAttempts: 3})
+		for range 10 {
+			_, err := d.Call(t.Context(), routeRequest)
+			require.NoError(t, err)
+		}
+		for _, id := range script.attempts {
+			require.Equal(t, script.attempts[0], id)
+		}
+		used[script.attempts[0]]++
+	}
+	require.Len(t, used, 4)
+	for id, hosts := range used {
+		require.LessOrEqual(t, hosts, 20, "upstream %s", id)
+	}
+}
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -10,7 +10,6 @@
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/refuser"
 	"celerygap.example/service/connector"
-	"celerygap.example/service/router"
 )
 
 const (
@@ -71,7 +70,7 @@
 		return refusal
 	}
 	defer j.release()
-	return j.runAttempts(ctx, router.Route{Prompt: string(newAttemptID())}, s.runAttempt)
+	return j.runAttempts(ctx, j.plainRoute(), s.runAttempt)
 }
 
 // runAttempt runs one attempt. It is cancelled when the next event is late, if the stream may be resumed on another
