--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -340,6 +340,12 @@
 	}
 }
 
+// AdoptBatch Requests that the receiver, the home of a job, takes it over because its owner is gone.
+type AdoptBatch struct {
+	From HostID  `json:"from"`
+	Job  BatchID `json:"job"`
+}
+
 // AnnounceBatch Tells a host who owns a job, so that it need not read the head from the store; version is the object version of the head.
 type AnnounceBatch struct {
 	// Head Value of the store object batchheads/<job>; it exists once the complete job is stored.
@@ -770,9 +776,29 @@
 	Trainer EntryName  `json:"trainer"`
 }
 
+// LocateBatch Requests the head of a job whose version is above the given one, which did not lead to the owner.
+type LocateBatch struct {
+	Above int64   `json:"above,omitempty"`
+	From  HostID  `json:"from"`
+	Job   BatchID `json:"job"`
+}
+
+// LocateReply defines model for LocateReply.
+type LocateReply struct {
+	// Absent The store holds no such job.
+	Absent bool `json:"absent,omitempty"`
+
+	// Head Value of the store object batchheads/<job>; it exists once the complete job is stored.
+	Head    BatchHead `json:"head,omitempty"`
+	Version int64     `json:"version,omitempty"`
+}
+
 // Member defines model for Member.
 type Member struct {
-	Address     string      `json:"address"`
+	Address string `json:"address"`
+
+	// Capacity Processor time that the host may use
+	Capacity    int         `json:"capacity,omitempty"`
 	HasDisk     bool        `json:"has_disk,omitempty"`
 	ID          HostID      `json:"id"`
 	Incarnation Incarnation `json:"incarnation"`
@@ -847,6 +873,16 @@
 // Outcome defines model for Outcome.
 type Outcome string
 
+// OwnedBatches Requests the open jobs that a host owns according to the store.
+type OwnedBatches struct {
+	Owner HostID `json:"owner"`
+}
+
+// OwnedReply defines model for OwnedReply.
+type OwnedReply struct {
+	Jobs []BatchID `json:"jobs"`
+}
+
 // PageReply Exactly one of page and problem is set.
 type PageReply struct {
 	Page *SamplePage `json:"page,omitempty"`
@@ -1121,8 +1157,20 @@
 	Yielded Fencing `json:"yielded,omitempty"`
 }
 
+// StatePull Requests the state of one kind of store objects from a host that holds a current one.
+type StatePull struct {
+	From HostID `json:"from"`
+	Kind string `json:"kind"`
+
+	// Known The revision that the sender has; 0 for none.
+	Known int64 `json:"known,omitempty"`
+}
+
 // StatePush The state of one kind of store objects. objects holds the objects that changed since the revision base. keys lists the keys of all objects; it is empty if same_keys is set, which means that none was created or deleted since base.
 type StatePush struct {
+	// Age How long ago a host last compared this state with the store.
+	Age Duration `json:"age,omitempty"`
+
 	// Base The revision of the receiver as last known to the sender.
 	Base     int64    `json:"base,omitempty"`
 	From     HostID   `json:"from"`
@@ -1131,6 +1179,9 @@
 	Objects  []Object `json:"objects,omitempty"`
 	Revision int64    `json:"revision"`
 	SameKeys bool     `json:"same_keys,omitempty"`
+
+	// StoreDown The sender cannot reach the store. The push carries no state and confirms none.
+	StoreDown bool `json:"store_down,omitempty"`
 }
 
 // StateReply defines model for StateReply.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -53,6 +53,7 @@
 	JobRefused            Event = 6102
 	JobEnded              Event = 6103
 	JobAdopted            Event = 6104
+	AdoptionRequested     Event = 6116
 	JobHandedOver         Event = 6105
 	JobLost               Event = 6106
 	JobKept               Event = 6107
@@ -114,6 +115,7 @@
 	{JobOpened, "batch job opened", "This host owns a batch job and runs its items.", "No action is needed."},
 	{JobRefused, "batch job refused", "A batch job could not be stored, or it is unknown whether it was stored. The submitter must submit it again.", "Check the platform's store."},
 	{JobEnded, "batch job ended", "The submitter ended a batch job. A line with an error means that the end is not stored yet and the write is retried.", "No action is needed."},
+	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobHandedOver, "batch job handed over", "This host is stopping and handed a batch job over to another host; the field accepted reports whether that host took it.", "No action is needed."},
 	{JobLost, "batch job lost", "Another host took over a batch job that this host owned, so this host stopped the items that it ran.", "No action is needed if this is rare; otherwise check this host's network, because the other hosts could not reach it."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -38,6 +39,10 @@
 	idleTimeout = 5 * time.Minute
 	// maxHeaderBytes bounds what is read of a header before the configured limit is checked.
 	maxHeaderBytes = 64 << 10
+	// firstSettleTime, minSettleTime and maxSettleTime are the times of settled.
+	firstSettleTime = 2 * time.Second
+	minSettleTime   = 300 * time.Millisecond
+	maxSettleTime   = time.Second
 	// inFlightPollInterval is how often a planned stop checks whether all requests have ended.
 	inFlightPollInterval = 20 * time.Millisecond
 )
@@ -55,6 +60,11 @@
 	MetricsListen string
 	// Seeds are the peer addresses of some other hosts.
 	Seeds []string
+	// Capacity is the processor time that this host may use, in thousandths of a core; 0 means that it is not known. Tasks of
+	// the whole fleet go to hosts with a large one.
+	Capacity int
+	// FirstStart means that the whole system starts for the first time.
+	FirstStart bool
 	// DrainWait is how long the load balancer gets to stop sending requests after readiness is off. StopGrace is the time
 	// for a complete planned stop.
 	DrainWait time.Duration
@@ -97,6 +107,9 @@
 type Platform struct {
 	// ConfigurationKind, UpstreamKind and VersionKind are the key prefixes of the objects that a host follows.
 	ConfigurationKind, UpstreamKind, VersionKind string
+	// RetirementKind is the key prefix of the requests to empty a host, Emptied the status that reports it as empty.
+	RetirementKind string
+	Emptied        json.RawMessage
 	// ConfigurationKey is the key of the object that Catalogue decodes.
 	ConfigurationKey string
 	Catalogue        func(codec.Object) (*codec.Catalogue, error)
@@ -132,6 +145,7 @@
 	config    Config
 	log       *logger.Logger
 	timer     *timer.Service
+	startedAt time.Time
 	listeners listeners
 	front     Front
 	callers   *http.Server
@@ -158,7 +172,7 @@
 
 // New listens on the configured addresses and builds the parts; nothing runs before Run.
 func New(config Config) (*Host, error) {
-	h := &Host{config: config, timer: timer.New(timer.Config{})}
+	h := &Host{config: config, timer: timer.New(timer.Config{}), startedAt: time.Now()}
 	h.log = config.Log.With("host", string(config.Settings.HostID))
 	if err := h.listen(); err != nil {
 		h.closeListeners()
@@ -217,7 +231,7 @@
 	h.prober = prober.NewDriver(prober.DriverConfig{
 		Self: codec.Member{
 			ID: settings.HostID, Address: h.listeners.peer.Addr().String(), Zone: settings.Zone, Region: settings.Region,
-			State: codec.MemberStateAlive,
+			State: codec.MemberStateAlive, Capacity: settings.Capacity,
 		},
 		SeedAddresses: settings.Seeds, Peers: h.peers, Timer: h.timer, Log: h.log, Rand: h.random("prober"), Timing: prober.QuickTiming,
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.dispatcher.ImportFlagged(proven, suspects) },
@@ -248,6 +262,17 @@
 	}
 }
 
+// settled reports whether this host knows enough other hosts to take up tasks of the whole fleet. At the first start of the
+// system nobody waits, so it gives all hosts the time to find each other. Later a host is ready sooner: it waits until another
+// one has sent it all members, and does not wait long for that.
+func (h *Host) settled() bool {
+	age := time.Since(h.startedAt)
+	if h.config.Settings.FirstStart {
+		return age >= firstSettleTime
+	}
+	return age >= maxSettleTime || age >= minSettleTime && h.prober.Joined()
+}
+
 // match finds the entry of a request in the catalogue in effect; known is false while there is no catalogue.
 func (h *Host) match(host, path string) (entry codec.Entry, found, known bool) {
 	m := h.currentMatcher()
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -14,11 +14,13 @@
 	"celerygap.example/service/batcher"
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/elector"
 	"celerygap.example/service/follower"
 	"celerygap.example/service/limiter"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/relayer"
+	"celerygap.example/service/retirer"
 	"celerygap.example/service/spreader"
 )
 
@@ -52,11 +54,11 @@
 			return entry, found
 		},
 		Catalogue: h.catalogue, Upstreams: h.lister, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
-		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults,
+		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults, Settled: h.settled, FirstStart: settings.FirstStart,
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
 		Store: h.config.Store, Orders: upstreams.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
-		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions,
+		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions, Settled: h.settled,
 	})
 }
 
@@ -64,13 +66,25 @@
 func (h *Host) buildSpreaders() {
 	h.configuration = spreader.NewDriver(spreader.DriverConfig{
 		Follower: follower.Config{Store: h.config.Store, Prefix: h.config.Platform.ConfigurationKind, Log: h.log},
-		Members:  h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnUpdate: h.applyConfiguration,
+		Members:  h.prober, Peers: h.peers, Settled: h.settled, Timer: h.timer, Log: h.log, OnUpdate: h.applyConfiguration,
 	})
 	h.upstreams = spreader.NewDriver(spreader.DriverConfig{
 		Follower: follower.Config{
 			Store: h.config.Store, Prefix: h.config.Platform.UpstreamKind, Hold: h.config.Settings.OutageGrace, Pause: upstreamPause, Log: h.log,
 		},
-		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnUpdate: h.applyUpstreams,
+		Members: h.prober, Peers: h.peers, Settled: h.settled, Timer: h.timer, Log: h.log, OnUpdate: h.applyUpstreams,
+	})
+}
+
+// newRetirer returns the retirer, which is active on one host of the fleet.
+func (h *Host) newRetirer() *retirer.Retirer {
+	platform := h.config.Platform
+	return retirer.New(retirer.Config{
+		Store: h.config.Store, Prefix: platform.RetirementKind, Done: platform.Emptied, Timer: h.timer, Log: h.log,
+		Elected: func() bool {
+			first, ok := elector.Choose(platform.RetirementKind, h.prober.Live())
+			return h.settled() && ok && first.ID == h.config.Settings.HostID
+		},
 	})
 }
 
@@ -90,6 +104,7 @@
 		{Name: "placer", Run: h.placer.Run},
 		{Name: "configuration", Run: h.configuration.Run},
 		{Name: "upstreams", Run: h.upstreams.Run},
+		{Name: "retirer", Run: h.newRetirer().Run},
 		serve("callers", h.listeners.caller, h.callers),
 		serve("readiness", h.listeners.ready, newServer(h.front.ReadyHandler())),
 	}
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -28,20 +28,48 @@
 	}
 }
 
-// reviewLoop reviews all jobs on request: it adopts jobs whose owner is gone and drops jobs that another host has taken
-// over. The first review and the one after a pause of this process read a current list, since an earlier process of this
-// host, or this one before its pause, may have owned jobs. Other reviews read a stale list, which costs a tenth of a
-// current one.
+// reviewer returns the host that looks for jobs whose owner is gone. One host does so for all, because each review lists the
+// heads of all jobs; the homes of the jobs then adopt them on its request.
+func (d *Driver) reviewer() codec.Member { return d.homeOf(reviewKey) }
+
+// reviewKey is the key by which the reviewer is chosen.
+const reviewKey = "batch review"
+
+// requestReviewByDuty requests a review if this host is the reviewer or owns jobs, which another host may have taken over.
+func (d *Driver) requestReviewByDuty() {
+	if !d.settled() {
+		return
+	}
+	d.mu.Lock()
+	owning := len(d.owned) > 0
+	d.mu.Unlock()
+	if owning || d.reviewer().ID == d.config.Self.ID {
+		d.requestReview()
+	}
+}
+
+func (d *Driver) settled() bool { return d.config.Settled == nil || d.config.Settled() }
+
+// reviewLoop first resumes the jobs of an earlier process of this host and then reviews all jobs on request: it has those
+// adopted whose owner is gone and drops jobs that another host has taken over. A review after a pause of this process reads a
+// current list, since other hosts may have acted meanwhile. Other reviews read a stale list, which costs a tenth of a current
+// one.
 func (d *Driver) reviewLoop(ctx context.Context) {
+	d.resumeFormerJobs(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.reviews:
 			currentListNeeded := d.currentListNeeded.Swap(false)
-			if err := d.review(ctx, !currentListNeeded); err != nil {
+			orphans, err := d.review(ctx, !currentListNeeded)
+			if err != nil {
 				d.config.Log.Warn(logger.JobsNotReviewed).Err(err).Send()
-				d.currentListNeeded.Store(currentListNeeded)
+				if currentListNeeded {
+					d.currentListNeeded.Store(true)
+				}
+			}
+			if err != nil || orphans {
 				d.sleep(maxStoreBackoff)
 				d.requestReview()
 			}
@@ -49,31 +77,171 @@
 	}
 }
 
-func (d *Driver) review(ctx context.Context, stale bool) error {
-	heads, err := d.config.Keeper.Heads(ctx, stale)
+// resumeFormerJobs adopts the open jobs of an earlier process of this host. It asks the reviewer for them, so that a fleet
+// that restarts at once does not list the jobs once for each host.
+func (d *Driver) resumeFormerJobs(ctx context.Context) {
+	if d.config.FirstStart {
+		return
+	}
+	for ctx.Err() == nil && !d.settled() {
+		d.sleep(settlePollInterval)
+	}
+	for ctx.Err() == nil {
+		err := d.adoptFormerJobs(ctx)
+		if err == nil {
+			return
+		}
+		d.config.Log.Warn(logger.JobsNotReviewed).Err(err).Send()
+		d.sleep(maxStoreBackoff)
+	}
+}
+
+func (d *Driver) adoptFormerJobs(ctx context.Context) error {
+	ids, err := d.formerJobs(ctx)
 	if err != nil {
 		return err
 	}
+	for _, id := range ids {
+		if d.isDraining() || d.isOwned(id) {
+			continue
+		}
+		if err := d.adopt(ctx, id, adoption{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// formerJobs returns the open jobs that this host owns according to the store.
+func (d *Driver) formerJobs(ctx context.Context) ([]identifier.BatchID, error) {
+	if reviewer := d.reviewer(); reviewer.ID != d.config.Self.ID {
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		var reply codec.OwnedReply
+		err := d.config.Peers.Call(callCtx, reviewer, methodOwned, codec.OwnedBatches{Owner: d.config.Self.ID}, &reply)
+		cancel()
+		if err == nil {
+			return reply.Jobs, nil
+		}
+	}
+	heads, err := d.config.Keeper.Heads(ctx, false)
+	return openJobsOf(heads, d.config.Self.ID), err
+}
+
+func openJobsOf(heads []batchkeeper.Head, owner identifier.HostID) []identifier.BatchID {
+	ids := []identifier.BatchID{}
+	for _, head := range heads {
+		if head.Owner == owner && !head.Ended {
+			ids = append(ids, head.ID)
+		}
+	}
+	return ids
+}
+
+// serveOwned lists the jobs for another host. Calls that arrive while a list is read share the next one: a list that was
+// read before a host restarted need not show all that its earlier process had done.
+func (d *Driver) serveOwned(ctx context.Context, params json.RawMessage) (any, error) {
+	var request codec.OwnedBatches
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode request for owned jobs", "peer", err)
+	}
+	heads, err := d.lists.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return codec.OwnedReply{Jobs: openJobsOf(heads, request.Owner)}, nil
+}
+
+// review reports whether there are jobs whose owner is gone and that no host has adopted yet.
+func (d *Driver) review(ctx context.Context, stale bool) (orphans bool, err error) {
+	heads, err := d.config.Keeper.Heads(ctx, stale)
+	if err != nil {
+		return false, err
+	}
+	reviewing := d.reviewer().ID == d.config.Self.ID
 	for _, head := range heads {
 		if ctx.Err() != nil || d.isDraining() {
-			return nil
+			return false, nil
 		}
-		if d.expired(head) {
+		if d.expired(head, reviewing) {
 			d.discard(ctx, head)
 			continue
 		}
-		if !head.Ended && d.shouldAdopt(head) {
-			if err := d.adopt(ctx, head.ID, nil); err != nil {
-				return err
-			}
+		if reviewing && !head.Ended {
+			orphans = d.checkOwner(head) || orphans
 		}
 		if d.isOwned(head.ID) {
 			if err := d.checkOwned(ctx, head); err != nil {
-				return err
+				return orphans, err
 			}
 		}
 	}
-	return nil
+	return orphans, nil
+}
+
+// checkOwner has an open job adopted if nobody runs it, and reports whether its owner is gone. A live owner is asked as well:
+// a write of its earlier process may have made it the owner after its start.
+func (d *Driver) checkOwner(head batchkeeper.Head) (orphan bool) {
+	adopter, live := d.liveMember(head.Owner)
+	if !live && time.Since(d.startedAt) < d.config.SettleTime {
+		// This host may not know the owner yet.
+		return false
+	}
+	if !live {
+		adopter = d.home(codec.BatchJob{ID: head.ID, Model: head.Model})
+	}
+	if adopter.ID == d.config.Self.ID {
+		d.adoptOnRequest(head.ID)
+		return !live
+	}
+	d.work.Go(func() {
+		ctx, cancel := context.WithTimeout(d.base, peerTimeout)
+		defer cancel()
+		err := d.config.Peers.Call(ctx, adopter, methodAdopt, codec.AdoptBatch{From: d.config.Self.ID, Job: head.ID}, nil)
+		if !live {
+			d.config.Log.Info(logger.AdoptionRequested).Str("request", string(head.ID)).Str("owner", string(head.Owner)).
+				Str("home", string(adopter.ID)).Err(err).Send()
+		}
+	})
+	return !live
+}
+
+func (d *Driver) serveAdopt(_ context.Context, params json.RawMessage) (any, error) {
+	var request codec.AdoptBatch
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode request for adoption", "peer", err)
+	}
+	if !d.isDraining() {
+		d.adoptOnRequest(request.Job)
+	}
+	return struct{}{}, nil
+}
+
+// adoptOnRequest adopts a job in the background, unless this host owns it or is doing so already. It retries after errors,
+// because the store may already name this host as the owner.
+func (d *Driver) adoptOnRequest(id identifier.BatchID) {
+	d.mu.Lock()
+	_, busy := d.adopting[id]
+	_, owned := d.owned[id]
+	if !busy && !owned {
+		d.adopting[id] = struct{}{}
+	}
+	d.mu.Unlock()
+	if busy || owned {
+		return
+	}
+	d.work.Go(func() {
+		for d.base.Err() == nil && !d.isDraining() {
+			err := d.adopt(d.base, id, adoption{requested: true})
+			if err == nil {
+				break
+			}
+			d.config.Log.Warn(logger.JobsNotReviewed).Str("request", string(id)).Err(err).Send()
+			d.sleep(maxStoreBackoff)
+		}
+		d.mu.Lock()
+		delete(d.adopting, id)
+		d.mu.Unlock()
+	})
 }
 
 // checkOwned compares a job that this host owns with its stored head: another host may have ended the job, or may have
@@ -100,16 +268,24 @@
 	return head.Owner == d.config.Self.ID && head.Incarnation == d.config.Incarnation
 }
 
-func (d *Driver) expired(head batchkeeper.Head) bool {
-	return d.config.KeepResults > 0 && time.Since(head.SubmittedAt) > 2*d.config.KeepResults
+// expired reports whether this host has to discard a job. Its owner does so, and the reviewer some time later if the owner has
+// not.
+func (d *Driver) expired(head batchkeeper.Head, reviewing bool) bool {
+	if d.config.KeepResults <= 0 {
+		return false
+	}
+	age := time.Since(head.SubmittedAt)
+	return d.isOwned(head.ID) && age > 2*d.config.KeepResults || reviewing && age > 2*d.config.KeepResults+discardMargin
 }
 
-// discard removes an expired job from the store. The owner does so, or the home of the job's ID if the owner is gone.
+// discardMargin is the time after which the reviewer discards a job that its owner has not discarded.
+const discardMargin = 10 * time.Second
+
+// settlePollInterval is how often a starting host checks whether it knows the other hosts.
+const settlePollInterval = 50 * time.Millisecond
+
+// discard removes an expired job from the store.
 func (d *Driver) discard(ctx context.Context, head batchkeeper.Head) {
-	_, live := d.liveMember(head.Owner)
-	if head.Owner != d.config.Self.ID && (live || d.homeOf(string(head.ID)).ID != d.config.Self.ID) {
-		return
-	}
 	_, chunks, err := d.readChain(ctx, head.ID)
 	if err == nil {
 		var texts int
@@ -121,24 +297,29 @@
 	d.config.Log.Info(logger.JobDiscarded).Str("request", string(head.ID)).Err(err).Send()
 }
 
-// shouldAdopt reports whether this host has to take over a job: one that it owned before a restart, or one whose owner is
-// not live and whose home is this host.
-func (d *Driver) shouldAdopt(head batchkeeper.Head) bool {
-	if d.isOwned(head.ID) {
+// adoption is the reason to adopt a job.
+type adoption struct {
+	// requested is set if the reviewer has found that the owner is gone; without it, the owner must be an earlier process of
+	// this host.
+	requested bool
+	// progress holds the unfinished texts if the owner hands the job over; otherwise it is nil.
+	progress []codec.ItemProgress
+}
+
+// mayAdopt reports whether this host may take a job over. An owner that merely seems to be gone is asked.
+func (d *Driver) mayAdopt(ctx context.Context, head batchkeeper.Head, reason adoption) bool {
+	switch {
+	case head.Ended || d.isOwned(head.ID):
 		return false
-	}
-	if head.Owner == d.config.Self.ID {
+	case reason.progress != nil || head.Owner == d.config.Self.ID:
 		return true
+	default:
+		return reason.requested && !d.ownerResponds(ctx, head)
 	}
-	if _, live := d.liveMember(head.Owner); live || time.Since(d.startedAt) < d.config.SettleTime {
-		return false
-	}
-	return d.home(codec.BatchJob{ID: head.ID, Model: head.Model}).ID == d.config.Self.ID
 }
 
-// adopt makes this host the owner of a job and resumes it. A nil progress means that the owner appears to be gone or was an
-// earlier process of this host, which is checked again; otherwise the owner hands the job over with this progress.
-func (d *Driver) adopt(ctx context.Context, id identifier.BatchID, progress []codec.ItemProgress) error {
+// adopt makes this host the owner of a job and resumes it.
+func (d *Driver) adopt(ctx context.Context, id identifier.BatchID, reason adoption) error {
 	head, err := d.config.Keeper.Head(ctx, id)
 	if errors.Is(err, connector.ErrNotFound) {
 		return nil
@@ -146,7 +327,7 @@
 	if err != nil {
 		return err
 	}
-	if head.Ended || progress == nil && (!d.shouldAdopt(head) || d.ownerResponds(ctx, head)) {
+	if !d.mayAdopt(ctx, head, reason) {
 		return nil
 	}
 	former := head.Owner
@@ -159,7 +340,7 @@
 	if err != nil {
 		return err
 	}
-	initial := initialState{progress: progress}
+	initial := initialState{progress: reason.progress}
 	if initial.results, initial.chunks, err = d.fenceChain(ctx, id); err != nil {
 		return err
 	}
@@ -242,7 +423,9 @@
 	var reply codec.SubmitReply
 	err := d.config.Peers.Call(ctx, target, methodTake, codec.TakeBatch{From: d.config.Self.ID, Job: id, Progress: progress}, &reply)
 	d.config.Log.Info(logger.JobHandedOver).Str("request", string(id)).Str("to", string(target.ID)).Bool("accepted", reply.Accepted).Err(err).Send()
-	d.discardHead(id)
+	d.mu.Lock()
+	delete(d.headCache, id)
+	d.mu.Unlock()
 }
 
 func (d *Driver) serveTake(ctx context.Context, params json.RawMessage) (any, error) {
@@ -257,7 +440,9 @@
 	if progress == nil {
 		progress = []codec.ItemProgress{}
 	}
-	if err := d.adopt(ctx, request.Job, progress); err != nil {
+	if err := d.adopt(ctx, request.Job, adoption{progress: progress}); err != nil {
+		// The store may already name this host as the owner.
+		d.adoptOnRequest(request.Job)
 		return nil, err
 	}
 	return codec.SubmitReply{Accepted: d.isOwned(request.Job)}, nil
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -53,6 +53,10 @@
 	Catalogue  connector.Catalogue
 	Upstreams  connector.Upstreams
 	Members    connector.Members
+	// Settled reports whether Members holds most of the live hosts; nil means that it always does.
+	Settled func() bool
+	// FirstStart means that no earlier process of this host can own jobs, because the whole system starts for the first time.
+	FirstStart bool
 	// MembersChanged receives a value after the live members changed.
 	MembersChanged <-chan struct{}
 	Peers          connector.Peers
@@ -81,12 +85,18 @@
 	machine *Batcher
 	owned   map[identifier.BatchID]*ownedJob
 	stops   map[RunID]context.CancelCauseFunc
-	// headCache holds the last known heads of jobs that other hosts own.
+	// headCache holds the last known heads of jobs that other hosts own; doubted holds the versions of heads whose owner did not
+	// confirm that it owns the job.
 	headCache map[identifier.BatchID]batchkeeper.Head
-	chains    map[identifier.BatchID]*cachedChain
-	draining  bool
-	base      context.Context
-	cancel    context.CancelFunc
+	doubted   map[identifier.BatchID]int64
+	// adopting holds the jobs that are being adopted on request.
+	adopting map[identifier.BatchID]struct{}
+	// lists shares the lists of all heads that other hosts request.
+	lists    *sharedRead[[]batchkeeper.Head]
+	chains   map[identifier.BatchID]*cachedChain
+	draining bool
+	base     context.Context
+	cancel   context.CancelFunc
 }
 
 // ownedJob is the driver's state of a job that this host owns.
@@ -112,16 +122,20 @@
 	d := &Driver{
 		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), machine: New(),
 		owned: make(map[identifier.BatchID]*ownedJob), stops: make(map[RunID]context.CancelCauseFunc),
-		headCache: make(map[identifier.BatchID]batchkeeper.Head), chains: make(map[identifier.BatchID]*cachedChain),
+		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
+		adopting: make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
 		base: base, cancel: cancel, startedAt: time.Now(),
 	}
-	d.currentListNeeded.Store(true)
+	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
 	config.Peers.Handle(methodSubmit, d.serveSubmit)
 	config.Peers.Handle(methodTake, d.serveTake)
 	config.Peers.Handle(methodRead, d.serveRead)
 	config.Peers.Handle(methodBody, d.serveBody)
 	config.Peers.Handle(methodEnd, d.serveEnd)
 	config.Peers.Handle(methodOwner, d.serveOwner)
+	config.Peers.Handle(methodLocate, d.serveLocate)
+	config.Peers.Handle(methodAdopt, d.serveAdopt)
+	config.Peers.Handle(methodOwned, d.serveOwned)
 	return d
 }
 
@@ -141,7 +155,6 @@
 	defer stopReviews()
 	catalogues := d.config.Catalogue.Subscribe()
 	d.work.Go(func() { d.reviewLoop(ctx) })
-	d.requestReview()
 	lastTick := time.Now()
 	for {
 		select {
@@ -157,9 +170,9 @@
 		case <-catalogues:
 			d.applyRoutes()
 		case <-reviews:
-			d.requestReview()
+			d.requestReviewByDuty()
 		case <-d.config.MembersChanged:
-			d.requestReview()
+			d.requestReviewByDuty()
 		}
 	}
 }
--- a/service/batcher/driver_test.go
+++ b/service/batcher/driver_test.go
@@ -253,16 +253,31 @@
 	require.Equal(t, before, c.awaitResults(c.add("a"), 5))
 }
 
-// readCounter is a store that counts the reads of result chunks.
+// readCounter is a store that counts the reads of result chunks and of heads, and the lists.
 type readCounter struct {
 	*storekeeper.Store
 	reads atomic.Int64
+	heads atomic.Int64
+	lists atomic.Int64
+}
+
+func (s *readCounter) List(ctx context.Context, prefix string) (codec.ObjectList, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *readCounter) ListStale(ctx context.Context, prefix string) (codec.ObjectList, error) {
+	s.lists.Add(1)
+	return s.Store.ListStale(ctx, prefix)
 }
 
 func (s *readCounter) Get(ctx context.Context, key string) (codec.Object, error) {
 	if strings.HasPrefix(key, "batchresults/") {
 		s.reads.Add(1)
 	}
+	if strings.HasPrefix(key, "batchheads/") {
+		s.heads.Add(1)
+	}
 	return s.Store.Get(ctx, key)
 }
 
@@ -429,3 +444,54 @@
 	require.Len(t, results(t, b), 2)
 	c.store.SetFaults(storekeeper.Faults{})
 }
+
+// Guards against calls to the store that grow with the hosts: one host reviews the jobs for all, and a host that is asked for a
+// job asks a directory host for its owner, also for one that does not exist.
+func TestOneHostReviewsAndLooksUpForAll(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	c.counter = &readCounter{Store: c.store}
+	hosts := []*host{c.add("a"), c.add("b"), c.add("c")}
+	time.Sleep(200 * time.Millisecond)
+	c.counter.lists.Store(0)
+	time.Sleep(time.Second)
+	require.LessOrEqual(t, c.counter.lists.Load(), int64(13), "one review each 100 ms")
+	require.GreaterOrEqual(t, c.counter.lists.Load(), int64(5))
+
+	_, err := hosts[1].Submit(t.Context(), submission(2))
+	require.NoError(t, err)
+	c.awaitResults(hosts[2], 2)
+	time.Sleep(100 * time.Millisecond)
+	c.counter.heads.Store(0)
+	for range 5 {
+		for _, h := range hosts[1:] {
+			require.Len(t, results(t, h), 2)
+		}
+	}
+	require.Zero(t, c.counter.heads.Load(), "the directory knows the owner")
+	for _, h := range hosts[1:] {
+		_, err := h.Read(t.Context(), "absent", 0, 0)
+		require.ErrorIs(t, err, connector.ErrNotFound)
+	}
+	require.LessOrEqual(t, c.counter.heads.Load(), int64(2), "a missing job is looked up once for each host")
+}
+
+// Guards against a job that stays with nobody because the write that made a host its owner took effect after that host had
+// restarted: the reviewer asks live owners, too.
+func TestOwnerLearnsOfItsJobFromTheReviewer(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	a, b := c.add("a"), c.add("b")
+	time.Sleep(100 * time.Millisecond)
+	for _, h := range []*host{a, b} {
+		job := submission(3)
+		job.ID = identifier.BatchID("late-" + h.id)
+		_, created, err := batchkeeper.New(c.store).Create(t.Context(), job, codec.BatchHead{
+			Owner: h.id, Address: string(h.id), Incarnation: 99, Model: model, Total: 3, SubmittedAt: time.Now(),
+		})
+		require.NoError(t, err)
+		require.True(t, created)
+		require.Eventually(t, func() bool {
+			page, err := b.Read(t.Context(), job.ID, 0, 0)
+			return err == nil && len(page.Results) == 3
+		}, 5*time.Second, 20*time.Millisecond, "job of %s", h.id)
+	}
+}
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -120,39 +120,12 @@
 	var reply codec.ReadReply
 	request := codec.ReadBatch{From: d.config.Self.ID, Job: head.ID, After: after, Wait: identifier.Duration(wait)}
 	if err := d.config.Peers.Call(ctx, member, methodRead, request, &reply); err != nil || !reply.Owner || reply.Page == nil {
-		d.discardHead(head.ID)
+		d.doubtHead(head)
 		return codec.BatchPage{}, false
 	}
 	return *reply.Page, true
 }
 
-func (d *Driver) discardHead(id identifier.BatchID) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.headCache, id)
-}
-
-// ownerOf returns the head of a job and whether this host owns it. It returns connector.ErrNotFound only if the store holds
-// no such job.
-func (d *Driver) ownerOf(ctx context.Context, id identifier.BatchID) (head batchkeeper.Head, owned bool, err error) {
-	d.mu.Lock()
-	h, owned := d.owned[id]
-	head, known := d.headCache[id]
-	if owned {
-		head = h.head
-	}
-	d.mu.Unlock()
-	if owned || known {
-		return head, owned, nil
-	}
-	head, err = d.config.Keeper.Head(ctx, id)
-	if err != nil {
-		return batchkeeper.Head{}, false, err
-	}
-	d.cacheHead(head)
-	return head, false, nil
-}
-
 // readChain returns all results of a job in the store and the number of their chunks; it reads only the chunks that are
 // not cached.
 func (d *Driver) readChain(ctx context.Context, id identifier.BatchID) ([]codec.BatchResult, int, error) {
@@ -226,7 +199,7 @@
 			}
 			return reply.Body, nil
 		}
-		d.discardHead(id)
+		d.doubtHead(head)
 	}
 	return d.storedBody(ctx, id, item)
 }
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -8,7 +8,6 @@
 
 	"celerygap.example/lib/annotator"
 	"celerygap.example/lib/codec"
-	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
 	"celerygap.example/service/batchkeeper"
@@ -23,6 +22,9 @@
 	methodBody   = "batch_body"
 	methodEnd    = "batch_end"
 	methodOwner  = "batch_owner"
+	methodLocate = "batch_locate"
+	methodAdopt  = "batch_adopt"
+	methodOwned  = "batch_owned"
 )
 
 const (
@@ -32,10 +34,8 @@
 	forwardedReadMargin = 500 * time.Millisecond
 	// maxCachedHeads bounds the cached heads of other hosts' jobs.
 	maxCachedHeads = 4096
-	// announceTimeout bounds the call that announces a job's owner to one host; maxAnnouncements bounds the concurrent
-	// calls for one job.
-	announceTimeout  = 500 * time.Millisecond
-	maxAnnouncements = 8
+	// announceTimeout bounds the call that announces a job's owner to one directory host.
+	announceTimeout = 500 * time.Millisecond
 )
 
 func asPositionTaken(err error) (*batchkeeper.PositionTakenError, bool) {
@@ -88,8 +88,8 @@
 		return connector.BatchAccepted, nil
 	}
 	d.cacheHead(head)
-	if head.Owner == d.config.Self.ID && !head.Ended && !d.isOwned(job.ID) {
-		d.requestReview()
+	if head.Owner == d.config.Self.ID && !head.Ended {
+		d.adoptOnRequest(job.ID)
 	}
 	return connector.BatchAccepted, nil
 }
@@ -126,22 +126,17 @@
 	d.work.Go(func() { d.announce(head) })
 }
 
-// announce sends the head of a job to the live hosts. Results are read at all of them, and each would otherwise read the
-// head from the store once.
+// announce sends the head of a job to its directory hosts, where the others look it up.
 func (d *Driver) announce(head batchkeeper.Head) {
-	calls := grouper.NewGroup(maxAnnouncements)
-	for _, member := range d.config.Members.Live() {
+	for _, member := range d.directory(head.ID) {
 		if member.ID == d.config.Self.ID {
 			continue
 		}
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(d.base, announceTimeout)
-			defer cancel()
-			// A host that misses the announcement reads the head from the store.
-			_ = d.config.Peers.Call(ctx, member, methodOwner, codec.AnnounceBatch{Job: head.ID, Version: head.Version, Head: head.BatchHead}, nil)
-		})
+		ctx, cancel := context.WithTimeout(d.base, announceTimeout)
+		// A directory host that misses the announcement reads the head from the store.
+		_ = d.config.Peers.Call(ctx, member, methodOwner, codec.AnnounceBatch{Job: head.ID, Version: head.Version, Head: head.BatchHead}, nil)
+		cancel()
 	}
-	calls.Wait()
 }
 
 func (d *Driver) serveOwner(_ context.Context, params json.RawMessage) (any, error) {
--- a/service/elector/elector_test.go
+++ b/service/elector/elector_test.go
@@ -41,3 +41,22 @@
 	_, ok = elector.Find("absent", hosts)
 	require.False(t, ok)
 }
+
+// Guards against tasks of the whole fleet on hosts with little processor time while larger ones are live.
+func TestLargeHostsAreChosen(t *testing.T) {
+	hosts := []codec.Member{{ID: "large1", Capacity: 800}, {ID: "large2", Capacity: 600}}
+	for i := range 20 {
+		hosts = append(hosts, codec.Member{ID: identifier.HostID(fmt.Sprint("small", i)), Capacity: 192})
+	}
+	for i := range 50 {
+		ranked := elector.Rank(fmt.Sprint("key", i), hosts, 3)
+		require.Len(t, ranked, 3)
+		require.NotContains(t, string(ranked[0].ID), "small")
+		require.NotContains(t, string(ranked[1].ID), "small")
+		require.NotEqual(t, ranked[0].ID, ranked[1].ID)
+		require.Contains(t, string(ranked[2].ID), "small", "without large hosts a small one must serve")
+		chosen, _ := elector.Choose(fmt.Sprint("key", i), hosts)
+		require.Equal(t, ranked[0], chosen)
+	}
+	require.Len(t, elector.Rank("key", hosts[:2], 3), 2)
+}
--- a/service/placer/driver.go
+++ b/service/placer/driver.go
@@ -48,6 +48,9 @@
 	Log    *logger.Logger
 	// LeaseDuration is how long the lease of the holder lasts without a renewal.
 	LeaseDuration time.Duration
+	// Settled reports whether Members holds most of the live hosts; nil means that it always does. Until then this host does
+	// not try to acquire the lease, since it would take itself for the only candidate.
+	Settled func() bool
 	// FollowVersions runs while this host should hold the lease and passes each announced version to announced.
 	// It calls listed once all versions announced so far have been passed.
 	FollowVersions func(ctx context.Context, announced func(identifier.ModelName, identifier.WeightVersion), listed func())
@@ -184,7 +187,7 @@
 	if draining {
 		return false, true
 	}
-	if d.handedOver() {
+	if d.handedOver() || d.config.Settled != nil && !d.config.Settled() {
 		return false, false
 	}
 	if d.held || d.standsIn() {
--- a/service/spreader/driver.go
+++ b/service/spreader/driver.go
@@ -16,20 +16,25 @@
 	"celerygap.example/service/follower"
 )
 
-// methodPush is the prefix of the JSON-RPC method by which a watcher sends its state to its zone; the kind of the objects
-// follows it.
-const methodPush = "state_push/"
+// The prefixes of the JSON-RPC methods by which a host sends its state to others and requests theirs; the kind of the objects
+// follows them.
+const (
+	methodPush = "state_push/"
+	methodPull = "state_pull/"
+)
 
 const (
 	// roleInterval is how often a host evaluates its role; with stateTTL it bounds the time until a host whose watcher
 	// failed follows the store itself.
 	roleInterval = 250 * time.Millisecond
-	// confirmInterval is how often a watcher confirms its state to its zone, after a cheap read of the store.
+	// confirmInterval is how often a watcher confirms its state to its recipients, after a cheap read of the store.
 	confirmInterval = 500 * time.Millisecond
 	// checkTimeout bounds that read: a slow store takes about 300 ms.
 	checkTimeout = 400 * time.Millisecond
-	// pushTimeout bounds one push within a zone.
+	// pushTimeout bounds one push, or one request for a state, within a region.
 	pushTimeout = 300 * time.Millisecond
+	// maxPullSources bounds the hosts from which a host without a state requests it in one round.
+	maxPullSources = 3
 	// maxPushes bounds the concurrent pushes.
 	maxPushes = 16
 )
@@ -39,8 +44,10 @@
 	Follower follower.Config
 	Members  connector.Members
 	Peers    connector.Peers
-	Timer    *timer.Service
-	Log      *logger.Logger
+	// Settled reports whether the members are known well enough for this host to have a role.
+	Settled func() bool
+	Timer   *timer.Service
+	Log     *logger.Logger
 	// OnUpdate receives each new state; calls are not concurrent.
 	OnUpdate func(follower.Update)
 }
@@ -51,6 +58,10 @@
 	config        DriverConfig
 	work          *grouper.Group
 	pushRequested chan struct{}
+	// downReported receives a value when another host reports that it cannot reach the store.
+	downReported chan struct{}
+	// pulls runs at most one round of requests for the state.
+	pulls *grouper.Group
 
 	mu       sync.Mutex
 	machine  *Spreader
@@ -62,16 +73,18 @@
 // NewDriver returns a Driver and registers its method with the peers.
 func NewDriver(config DriverConfig) *Driver {
 	d := &Driver{
-		config: config, work: grouper.NewGroup(-1), pushRequested: make(chan struct{}, 1),
-		machine: New(config.Members.Self(), config.Follower.Prefix), confirmed: make(map[identifier.HostID]int64),
+		config: config, work: grouper.NewGroup(-1), pushRequested: make(chan struct{}, 1), downReported: make(chan struct{}, 1),
+		pulls: grouper.NewGroup(1), machine: New(config.Members.Self(), config.Follower.Prefix), confirmed: make(map[identifier.HostID]int64),
 	}
 	config.Peers.Handle(methodPush+config.Follower.Prefix, d.servePush)
+	config.Peers.Handle(methodPull+config.Follower.Prefix, d.servePull)
 	return d
 }
 
-// Run follows the store while this host's role requires it and, as the watcher, confirms its state to the zone.
+// Run follows the store while this host's role requires it and passes the state on to the recipients of its role.
 func (d *Driver) Run(ctx context.Context) error {
 	defer d.work.Wait()
+	defer d.pulls.Wait()
 	roles, stopRoles := d.config.Timer.Subscribe(roleInterval)
 	defer stopRoles()
 	confirms, stopConfirms := d.config.Timer.Subscribe(confirmInterval)
@@ -80,7 +93,7 @@
 	defer func() { stopFollowing() }()
 	following := false
 	for {
-		role := d.role()
+		role := d.role(ctx)
 		if role.Follow != following {
 			d.config.Log.Info(logger.StoreWatchChanged).Str("kind", d.config.Follower.Prefix).Bool("follow", role.Follow).
 				Int("audience", len(role.Recipients)).Send()
@@ -94,18 +107,83 @@
 		case <-roles:
 		case <-d.pushRequested:
 			d.push(ctx, role.Recipients)
+		case <-d.downReported:
+			d.reportDown(ctx, role.Recipients)
 		case <-confirms:
-			if len(role.Recipients) > 0 && d.storeResponds(ctx) {
-				d.push(ctx, role.Recipients)
+			if role.Follow && len(role.Recipients) > 0 {
+				d.confirm(ctx, role.Recipients)
 			}
 		}
 	}
 }
 
-func (d *Driver) role() Role {
+// confirm compares the state with the store and passes the result on: the state, or that the store cannot be reached.
+func (d *Driver) confirm(ctx context.Context, recipients []codec.Member) {
+	if !d.storeResponds(ctx) {
+		d.reportDown(ctx, recipients)
+		return
+	}
+	d.mu.Lock()
+	d.machine.Check(time.Now())
+	d.mu.Unlock()
+	d.push(ctx, recipients)
+}
+
+// role returns this host's role, and requests the state from other hosts if it has to.
+func (d *Driver) role(ctx context.Context) Role {
+	now := time.Now()
+	d.mu.Lock()
+	if d.config.Settled == nil || d.config.Settled() {
+		d.machine.Settle(now)
+	}
+	role := d.machine.Role(now, d.config.Members.Live())
+	needed := d.machine.NeedsState(now)
+	d.mu.Unlock()
+	if needed && len(role.Sources) > 0 {
+		d.pulls.TryGo(func() { d.pull(ctx, role.Sources[:min(len(role.Sources), maxPullSources)]) })
+	}
+	return role
+}
+
+// pull requests the state from other hosts until one has a current state.
+func (d *Driver) pull(ctx context.Context, sources []codec.Member) {
+	for _, source := range sources {
+		push, err := d.pullFrom(ctx, source)
+		if err != nil || push.Revision == 0 {
+			continue
+		}
+		d.mu.Lock()
+		_, changed := d.machine.Receive(time.Now(), push)
+		d.publish(changed)
+		d.mu.Unlock()
+		d.requestPush()
+		return
+	}
+}
+
+func (d *Driver) pullFrom(ctx context.Context, source codec.Member) (codec.StatePush, error) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	var push codec.StatePush
+	d.mu.Lock()
+	request := codec.StatePull{From: d.config.Members.Self().ID, Kind: d.config.Follower.Prefix, Known: d.machine.Revision()}
+	d.mu.Unlock()
+	err := d.config.Peers.Call(ctx, source, methodPull+d.config.Follower.Prefix, request, &push)
+	return push, err
+}
+
+// servePull returns the state, or one with revision 0 if this host's own is not current.
+func (d *Driver) servePull(_ context.Context, params json.RawMessage) (any, error) {
+	var request codec.StatePull
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode request for the state", "peer", err)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Role(time.Now(), d.config.Members.Live())
+	if !d.machine.Current(time.Now()) {
+		return codec.StatePush{From: d.config.Members.Self().ID, Kind: d.config.Follower.Prefix}, nil
+	}
+	return d.machine.Push(time.Now(), request.Known), nil
 }
 
 func (d *Driver) follow(ctx context.Context, wanted bool) (stop func()) {
@@ -117,6 +195,7 @@
 	config.OnUpdate = func(update follower.Update) {
 		d.mu.Lock()
 		changed := d.machine.Apply(update.Revision, update.Objects)
+		d.machine.Check(time.Now())
 		d.publish(changed)
 		d.mu.Unlock()
 		if changed {
@@ -158,15 +237,31 @@
 // checkPrefix is the prefix of a kind without objects, so that its list is small.
 const checkPrefix = "storechecks/"
 
+// reportDown tells the recipients that the store cannot be reached through this host, so that they do not all try it.
+func (d *Driver) reportDown(ctx context.Context, recipients []codec.Member) {
+	pushes := grouper.NewGroup(maxPushes)
+	for _, member := range recipients {
+		pushes.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			defer cancel()
+			push := codec.StatePush{From: d.config.Members.Self().ID, Kind: d.config.Follower.Prefix, StoreDown: true}
+			// A host that misses the message tries the store itself.
+			_ = d.config.Peers.Call(ctx, member, methodPush+d.config.Follower.Prefix, push, nil)
+		})
+	}
+	pushes.Wait()
+}
+
 func (d *Driver) push(ctx context.Context, recipients []codec.Member) {
 	pushes := grouper.NewGroup(maxPushes)
 	for _, member := range recipients {
 		d.mu.Lock()
-		if !d.machine.Known() {
+		if !d.machine.Current(time.Now()) {
+			// The recipients would take it for a confirmation.
 			d.mu.Unlock()
 			return
 		}
-		push := d.machine.Push(d.confirmed[member.ID])
+		push := d.machine.Push(time.Now(), d.confirmed[member.ID])
 		d.mu.Unlock()
 		pushes.Go(func() { d.pushTo(ctx, member, push) })
 	}
@@ -195,5 +290,14 @@
 	defer d.mu.Unlock()
 	reply, changed := d.machine.Receive(time.Now(), push)
 	d.publish(changed)
+	// The head of a zone passes on what it receives; other hosts have no recipients.
+	next := d.pushRequested
+	if push.StoreDown {
+		next = d.downReported
+	}
+	select {
+	case next <- struct{}{}:
+	default:
+	}
 	return reply, nil
 }
--- a/service/spreader/spreader.go
+++ b/service/spreader/spreader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
 	"celerygap.example/service/elector"
 )
 
@@ -13,9 +14,22 @@
 	// maxDirectHosts is the number of hosts up to which all hosts of a zone watch the store themselves: a few calls cost less
 	// than the risk that the watcher is unreachable.
 	maxDirectHosts = 3
-	// stateTTL is how long a state counts as current after the watcher confirmed it. With the watcher's check of the store,
-	// it bounds the age of a host's state to about two seconds.
+	// stateTTL is how long a state counts as current after it was confirmed. A zone's head watches the store itself after
+	// that time without a confirmation. With the watcher's check of the store, it bounds the age of a host's state to about
+	// two seconds.
 	stateTTL = time.Second
+	// requestAfter is the time without a confirmation after which a host requests the state: the head of its zone may not know
+	// this host yet, or a message was lost.
+	requestAfter = 700 * time.Millisecond
+	// substitutes is the number of hosts of a zone that replace its head, each of them substituteDelay after the one before, so
+	// that the loss of a head does not make all hosts of its zone call the store.
+	substitutes     = 2
+	substituteDelay = 250 * time.Millisecond
+	// holdTime is how long the other hosts of a zone leave it to the head and its substitutes to try the store after one of them
+	// said that it cannot reach it. It covers a lost message.
+	holdTime = 1500 * time.Millisecond
+	// heldTTL is how long a state may go without a confirmation before such a host watches the store itself in spite of that.
+	heldTTL = 4 * time.Second
 )
 
 // Spreader is the state machine that decides whether this host watches the store; it holds the state with the highest
@@ -27,8 +41,15 @@
 	objects  map[string]codec.Object
 	// keysRevision is the lowest revision since which no object was added or removed.
 	keysRevision int64
-	// confirmedAt is when a watcher last confirmed a state that is not older than this host's.
+	// settledAt is when this host knew enough other hosts to have a role.
+	settledAt time.Time
+	// confirmedAt is when a state that is not older than this host's was last compared with the store by another host, as far
+	// as this one was told; checkedAt is when this host did so itself. Counting from the comparison, and not from the message,
+	// keeps two hosts from confirming an outdated state to each other.
 	confirmedAt time.Time
+	checkedAt   time.Time
+	// heldUntil is set while another host of the zone tries the store for this one.
+	heldUntil time.Time
 }
 
 // New returns a state machine that has no objects yet.
@@ -42,26 +63,109 @@
 	Follow bool
 	// Recipients holds the hosts to which this one pushes the state.
 	Recipients []codec.Member
+	// Sources holds the hosts that may have a current state, the most likely one first.
+	Sources []codec.Member
 }
 
-// Role returns the role among the live hosts. A host whose zone's watcher has not confirmed the state within stateTTL follows
-// the store itself.
+// Settle records that this host knows the other hosts well enough to have a role. Until then a host watches nothing: at the
+// start of a fleet, each host would otherwise take itself for the only one.
+func (s *Spreader) Settle(now time.Time) {
+	if s.settledAt.IsZero() {
+		s.settledAt = now
+	}
+}
+
+// Role returns the role among the live hosts. One host of a region, the root, watches the store and pushes the state to the
+// heads of the zones, which push it to the hosts of their zones. A host that gets no confirmations watches the store itself:
+// the head of a zone first, then its substitutes, then all.
 func (s *Spreader) Role(now time.Time, live []codec.Member) Role {
-	var zone []codec.Member
+	var zone, region []codec.Member
 	for _, member := range live {
+		if member.Region == s.self.Region {
+			region = append(region, member)
+		}
 		if member.Zone == s.self.Zone {
 			zone = append(zone, member)
 		}
 	}
+	settled := !s.settledAt.IsZero()
+	root, _ := elector.Choose(s.kind, region)
 	if len(zone) <= maxDirectHosts {
-		return Role{Follow: true}
+		role := Role{Follow: settled, Sources: s.without(live)}
+		if settled && root.ID == s.self.ID {
+			role.Recipients = s.heads(region)
+		}
+		return role
+	}
+	ranked := elector.Rank(s.kind, zone, 1+substitutes)
+	rank := slices.IndexFunc(ranked, func(member codec.Member) bool { return member.ID == s.self.ID })
+	sources := append(slices.Clone(ranked[:1]), root)
+	if rank == 0 {
+		sources = []codec.Member{root}
+	}
+	role := Role{Sources: s.without(append(sources, ranked[1:]...))}
+	if !settled {
+		return role
+	}
+	silence := now.Sub(latest(s.confirmedAt, s.settledAt))
+	switch {
+	case root.ID == s.self.ID:
+		role.Follow = true
+		role.Recipients = s.heads(region)
+		if rank == 0 {
+			role.Recipients = append(role.Recipients, s.without(zone)...)
+		}
+	case rank == 0:
+		role.Follow = silence > stateTTL
+		role.Recipients = s.without(zone)
+	case rank > 0:
+		role.Follow = silence > 2*stateTTL-substituteDelay*time.Duration(1+substitutes-rank)
+		if role.Follow {
+			role.Recipients = s.without(zone)
+		}
+	case now.Before(s.heldUntil):
+		role.Follow = silence > heldTTL
+	default:
+		role.Follow = silence > 2*stateTTL
+	}
+	return role
+}
+
+// heads returns the heads of the zones of a region, without this host and without those of zones whose hosts all watch the
+// store.
+func (s *Spreader) heads(region []codec.Member) []codec.Member {
+	zones := make(map[identifier.Zone][]codec.Member)
+	for _, member := range region {
+		zones[member.Zone] = append(zones[member.Zone], member)
+	}
+	var heads []codec.Member
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		if head, ok := elector.Choose(s.kind, zones[zone]); ok && len(zones[zone]) > maxDirectHosts {
+			heads = append(heads, head)
+		}
 	}
-	if watcher, _ := elector.Choose(s.kind, zone); watcher.ID != s.self.ID {
-		return Role{Follow: now.Sub(s.confirmedAt) > stateTTL}
+	return s.without(heads)
+}
+
+func (s *Spreader) without(members []codec.Member) []codec.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member codec.Member) bool { return member.ID == s.self.ID })
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return Role{Follow: true, Recipients: slices.DeleteFunc(zone, func(member codec.Member) bool { return member.ID == s.self.ID })}
+	return b
 }
 
+// NeedsState reports whether this host has to request the state: it has none, or it has not been confirmed for too long.
+func (s *Spreader) NeedsState(now time.Time) bool {
+	return !s.Known() || now.Sub(latest(s.confirmedAt, s.checkedAt)) > requestAfter
+}
+
+// Revision returns the revision of the state, or 0 if there is none.
+func (s *Spreader) Revision() int64 { return s.revision }
+
 // Apply replaces the state, unless the given one is older, and reports whether anything changed.
 func (s *Spreader) Apply(revision int64, objects map[string]codec.Object) (changed bool) {
 	if revision < s.revision {
@@ -78,9 +182,22 @@
 	return changed
 }
 
-// Receive applies a state from the zone's watcher. The reply holds the revision that this host has now, or 0 to request the
+// Check records that this host has compared its state with the store.
+func (s *Spreader) Check(now time.Time) { s.checkedAt = now }
+
+// Current reports whether the state was confirmed or compared with the store within stateTTL, so that other hosts may rely on
+// it.
+func (s *Spreader) Current(now time.Time) bool {
+	return s.Known() && now.Sub(latest(s.confirmedAt, s.checkedAt)) <= stateTTL
+}
+
+// Receive applies a state from another host. The reply holds the revision that this host has now, or 0 to request the
 // complete state when the push builds on objects that this host does not have.
 func (s *Spreader) Receive(now time.Time, push codec.StatePush) (reply codec.StateReply, changed bool) {
+	if push.StoreDown {
+		s.heldUntil = now.Add(holdTime)
+		return codec.StateReply{Revision: s.revision}, false
+	}
 	if push.Revision < s.revision {
 		return codec.StateReply{Revision: s.revision}, false
 	}
@@ -101,7 +218,7 @@
 		}
 		next[key] = known
 	}
-	s.confirmedAt = now
+	s.confirm(now, push.Age.Std())
 	changed = s.Apply(push.Revision, next)
 	return codec.StateReply{Revision: s.revision}, changed
 }
@@ -112,7 +229,7 @@
 	if s.revision != push.Base {
 		return codec.StateReply{}, false
 	}
-	s.confirmedAt = now
+	s.confirm(now, push.Age.Std())
 	if len(push.Objects) == 0 {
 		s.revision = push.Revision
 		return codec.StateReply{Revision: s.revision}, false
@@ -125,6 +242,11 @@
 	return codec.StateReply{Revision: s.revision}, changed
 }
 
+func (s *Spreader) confirm(now time.Time, age time.Duration) {
+	s.confirmedAt = latest(s.confirmedAt, now.Add(-age))
+	s.heldUntil = time.Time{}
+}
+
 func sameKeys(a, b map[string]codec.Object) bool {
 	if len(a) != len(b) {
 		return false
@@ -139,8 +261,11 @@
 
 // Push returns the message for a host that last confirmed the given revision; 0 stands for none. Without changes it takes a
 // few bytes, however many objects there are.
-func (s *Spreader) Push(known int64) codec.StatePush {
-	push := codec.StatePush{From: s.self.ID, Kind: s.kind, Revision: s.revision, Base: known, SameKeys: known > 0 && known >= s.keysRevision}
+func (s *Spreader) Push(now time.Time, known int64) codec.StatePush {
+	push := codec.StatePush{
+		From: s.self.ID, Kind: s.kind, Revision: s.revision, Base: known, SameKeys: known > 0 && known >= s.keysRevision,
+		Age: identifier.Duration(now.Sub(latest(s.confirmedAt, s.checkedAt))),
+	}
 	if !push.SameKeys {
 		push.Keys = slices.Sorted(maps.Keys(s.objects))
 	}
