--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -201,7 +201,7 @@
 	r.engine.seenVersions[j.job.Model] = max(r.engine.seenVersions[j.job.Model], e.Event.Version)
 	switch {
 	case e.Event.Version < j.job.MinVersion:
-		r.engine.seenVersions[j.job.Model] = e.Event.Version
+		r.engine.contradict(now, j.job.Model, e.Event.Version)
 		b.stop(r, StopOldWeights)
 		return
 	case j.singleVersion() && len(it.versions) > 0 && it.versions[0] != e.Event.Version:
@@ -245,7 +245,13 @@
 // handleFailedRun delays the item, pauses the engine or finishes the item as dead, depending on the kind of failure.
 func (b *Batcher) handleFailedRun(now time.Time, r *run, err error) {
 	it, j := r.item, r.job
-	if r.stopped != "" {
+	switch r.stopped {
+	case "":
+	case StopOldWeights:
+		// The next run may meet the same weights.
+		it.notBefore = now.Add(runRetryDelay)
+		return
+	default:
 		return
 	}
 	var failure connector.Failure
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -536,3 +536,35 @@
 	require.Zero(t, saved[0].After)
 	require.Len(t, saved[0].Events, 25)
 }
+
+// Guards against a run that restarts without a pause on an engine whose list entry says a newer version than it serves, as after
+// a crash: each start costs the engine a prompt, and the loop takes the host's processor.
+func TestEngineOlderThanItsEntryIsLeftAlone(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("e1", 2, 4))
+	x.openItems(codec.BatchSpec{}, item("a", 10), item("b", 10))
+	starts := func() int { return len(x.runs) }
+	for step := range 5 {
+		before := starts()
+		for id := range x.runs {
+			if _, ok := x.stopped[id]; !ok {
+				x.event(id, 1, 1)
+				require.Equal(t, batcher.StopOldWeights, x.stopped[id])
+				x.handle(batcher.RunEnded{Run: id, Err: errors.New("stopped")})
+			}
+		}
+		require.Equal(t, before, starts(), "a run restarted at once in step %d", step)
+		x.advanceClock(300 * time.Millisecond)
+	}
+	require.Equal(t, 2, starts(), "the engine must not be used while its entry is known to be wrong")
+	x.engines(engine("e1", 3, 4))
+	x.advanceClock(100 * time.Millisecond)
+	require.Equal(t, 4, starts(), "a changed entry is believed")
+	x = newHarness(t)
+	x.engines(engine("e1", 2, 4))
+	x.openItems(codec.BatchSpec{}, item("a", 10))
+	x.event(1, 1, 1)
+	x.handle(batcher.RunEnded{Run: 1, Err: errors.New("stopped")})
+	x.advanceClock(2100 * time.Millisecond)
+	require.Len(t, x.runs, 2, "the engine may have loaded the listed version meanwhile")
+}
--- a/service/batcher/driver_test.go
+++ b/service/batcher/driver_test.go
@@ -495,3 +495,28 @@
 		}, 5*time.Second, 20*time.Millisecond, "job of %s", h.id)
 	}
 }
+
+// Guards against an end that is reported as without effect although the runs were stopped, and against one that is reported as
+// uncertain although nothing was done.
+func TestFailedEndSaysWhatHappened(t *testing.T) {
+	c := newCluster(t, 50*time.Millisecond)
+	a, b := c.add("a"), c.add("b")
+	_, err := a.Submit(t.Context(), submission(20))
+	require.NoError(t, err)
+	owner, other := a, b
+	if c.ownerID(t) == "b" {
+		owner, other = b, a
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.store.SetFaults(storekeeper.Faults{Down: true})
+	require.NotErrorIs(t, other.End(t.Context(), "unknown"), connector.ErrOutcomeUnknown)
+	require.ErrorIs(t, owner.End(t.Context(), jobID), connector.ErrOutcomeUnknown)
+	c.store.SetFaults(storekeeper.Faults{})
+	require.NoError(t, other.End(t.Context(), jobID))
+}
+
+func (c *cluster) ownerID(t *testing.T) identifier.HostID {
+	head, err := batchkeeper.New(c.store).Head(t.Context(), jobID)
+	require.NoError(t, err)
+	return head.Owner
+}
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -23,6 +23,8 @@
 	// failedPause is how long an engine gets no runs after one failed or stalled on it; a crash takes seconds to appear
 	// in the list of engines.
 	failedPause = time.Second
+	// contradictionTime is about the time of two loads of weights.
+	contradictionTime = 2 * time.Second
 )
 
 // engine is an entry of the list of engines, with the load and speed that this host observes.
@@ -36,10 +38,22 @@
 	measuredAt    time.Time
 	// seenVersions holds the versions from the engine's responses, which are more recent than its entry in the list.
 	seenVersions map[identifier.ModelName]identifier.WeightVersion
+	// contradictions holds the models of which a response showed an older version than the entry in the list.
+	contradictions map[identifier.ModelName]contradiction
+}
+
+// contradiction is a version in an engine's list entry that a response has shown to be wrong. It holds until the entry changes,
+// and for contradictionTime at most, because the engine may load the listed version meanwhile.
+type contradiction struct {
+	listed identifier.WeightVersion
+	until  time.Time
 }
 
 func newEngine(host codec.ListedHost) *engine {
-	return &engine{host: host, seenVersions: make(map[identifier.ModelName]identifier.WeightVersion)}
+	return &engine{
+		host: host, seenVersions: make(map[identifier.ModelName]identifier.WeightVersion),
+		contradictions: make(map[identifier.ModelName]contradiction),
+	}
 }
 
 func (e *engine) slots() int {
@@ -51,14 +65,32 @@
 
 // version returns the weight version of a model that the engine serves; an engine whose entry lists no models serves
 // any model.
-func (e *engine) version(model identifier.ModelName) (version identifier.WeightVersion, known bool) {
+func (e *engine) version(now time.Time, model identifier.ModelName) (version identifier.WeightVersion, known bool) {
 	version, known = e.seenVersions[model]
+	if listed, ok := e.listedVersion(model); ok {
+		if wrong, ok := e.contradictions[model]; ok && wrong.listed == listed && now.Before(wrong.until) {
+			return version, known
+		}
+		return max(version, listed), true
+	}
+	return version, known || len(e.host.Models) == 0
+}
+
+func (e *engine) listedVersion(model identifier.ModelName) (identifier.WeightVersion, bool) {
 	for _, state := range e.host.Models {
 		if state.Model == model {
-			return max(version, state.Serving), true
+			return state.Serving, true
 		}
 	}
-	return version, known || len(e.host.Models) == 0
+	return 0, false
+}
+
+// contradict records that the engine serves an older version of a model than its list entry says.
+func (e *engine) contradict(now time.Time, model identifier.ModelName, version identifier.WeightVersion) {
+	e.seenVersions[model] = version
+	if listed, ok := e.listedVersion(model); ok && listed > version {
+		e.contradictions[model] = contradiction{listed: listed, until: now.Add(contradictionTime)}
+	}
 }
 
 // measure updates the average event interval. A single long interval, such as during a change of weights, says little
@@ -83,7 +115,7 @@
 	if e.host.State == codec.HostStateLeaving || now.Before(e.usableAt) || !j.allowsPool(e.host.Pool) {
 		return false
 	}
-	version, known := e.version(j.job.Model)
+	version, known := e.version(now, j.job.Model)
 	return j.job.Model == "" || known && version >= j.job.MinVersion
 }
 
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -88,7 +88,7 @@
 }
 
 func (b *Batcher) startRun(now time.Time, j *job, it *item, e *engine) {
-	if version, known := e.version(j.job.Model); j.singleVersion() && known && len(it.versions) > 0 && it.versions[0] != version {
+	if version, known := e.version(now, j.job.Model); j.singleVersion() && known && len(it.versions) > 0 && it.versions[0] != version {
 		it.clear()
 	}
 	b.lastRun++
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"celerygap.example/lib/annotator"
@@ -195,15 +196,20 @@
 	return codec.SubmitReply{Accepted: status == connector.BatchAccepted, Uncertain: status == connector.BatchOutcomeUnknown}, nil
 }
 
-// End marks a job as ended in the store and stops its runs. It returns nil if the job has ended before.
+// End marks a job as ended in the store and stops its runs. It returns nil if the job has ended before. An error that is not
+// connector.ErrOutcomeUnknown means that the job was left as it was.
 func (d *Driver) End(ctx context.Context, id identifier.BatchID) error {
 	head, owned, err := d.ownerOf(ctx, id)
-	if err != nil {
+	if errors.Is(err, connector.ErrNotFound) {
 		return err
 	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", connector.ErrUnavailable, hideOutcomeUnknown(err))
+	}
 	if owned {
 		return d.endOwned(ctx, id)
 	}
+	asked := false
 	if member, ok := d.liveMember(head.Owner); ok && member.ID != d.config.Self.ID {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
@@ -212,22 +218,36 @@
 		if err == nil && reply.Owner {
 			return nil
 		}
+		// Without a reply the owner may have stopped the runs.
+		asked = err != nil
 	}
-	return d.markEnded(ctx, id)
+	err = d.markEnded(ctx, id)
+	if err != nil && asked {
+		err = errors.Join(connector.ErrOutcomeUnknown, err)
+	}
+	return err
 }
 
+// hideOutcomeUnknown returns an error with the same text that no longer wraps connector.ErrOutcomeUnknown: a read without a
+// response has changed nothing.
+func hideOutcomeUnknown(err error) error { return errors.New(err.Error()) }
+
 // endOwned stops the runs immediately and then writes the end to the store; it returns nil only after the store holds it.
 func (d *Driver) endOwned(ctx context.Context, id identifier.BatchID) error {
 	d.handle(JobEnded{Job: id})
-	return d.markEnded(ctx, id)
+	if err := d.markEnded(ctx, id); err != nil {
+		return errors.Join(connector.ErrOutcomeUnknown, err)
+	}
+	return nil
 }
 
 func (d *Driver) markEnded(ctx context.Context, id identifier.BatchID) error {
 	// The first attempt uses the known head; after an error the current head is read from the store.
 	head, err := d.knownHead(ctx, id)
+	outcomeUnknown := false
 	for range maxEndWrites {
 		if err != nil {
-			return err
+			break
 		}
 		if head.Ended {
 			return nil
@@ -241,12 +261,16 @@
 			return nil
 		}
 		d.config.Log.Warn(logger.JobEnded).Str("request", string(id)).Err(err).Send()
+		outcomeUnknown = outcomeUnknown || errors.Is(err, connector.ErrOutcomeUnknown)
 		head, err = d.config.Keeper.Head(ctx, id)
 	}
 	if err == nil {
 		err = connector.ErrUnavailable
 	}
-	return err
+	if err = hideOutcomeUnknown(err); outcomeUnknown {
+		return errors.Join(connector.ErrOutcomeUnknown, err)
+	}
+	return fmt.Errorf("%w: %w", connector.ErrUnavailable, err)
 }
 
 // maxEndWrites bounds the attempts to write the end of a job: a conflict with an adoption and a lost response may precede
--- a/service/connector/batch.go
+++ b/service/connector/batch.go
@@ -106,6 +106,7 @@
 	Read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, error)
 	// Body returns the body of an item; ErrNotFound means that the job has no such item or has ended.
 	Body(ctx context.Context, id identifier.BatchID, item identifier.ItemID) ([]byte, error)
-	// End stops a job; repeating the call is harmless.
+	// End stops a job; repeating the call is harmless. After ErrOutcomeUnknown the job may have been stopped, after any other
+	// error it was not.
 	End(ctx context.Context, id identifier.BatchID) error
 }
--- a/service/relayer/relayer.go
+++ b/service/relayer/relayer.go
@@ -88,10 +88,13 @@
 	for _, attempt := range attempts {
 		var object codec.Object
 		object, err = attempt(ctx)
-		if !unreachable(err) || ctx.Err() != nil {
+		if !unreachable(err) {
 			return object, err
 		}
 		outcomeUnknown = outcomeUnknown || errors.Is(err, connector.ErrOutcomeUnknown)
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	if outcomeUnknown && !errors.Is(err, connector.ErrOutcomeUnknown) {
 		err = errors.Join(connector.ErrOutcomeUnknown, err)
--- a/service/relayer/relayer_test.go
+++ b/service/relayer/relayer_test.go
@@ -128,3 +128,19 @@
 	_, err := alone.Put(t.Context(), "kind/x", 0, json.RawMessage(`"v"`))
 	require.ErrorIs(t, err, connector.ErrOutcomeUnknown)
 }
+
+// Guards against a write that counts as not run because the caller's time ended during the second path, after the first path
+// had left its outcome unknown.
+func TestOutcomeStaysUnknownWhenTimeEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	hosts := make(map[identifier.HostID]map[string]connector.Handler)
+	p := fakePeers{"a", hosts}
+	path := &faultyPath{Store: storekeeper.New(), losesResponse: true}
+	a := relayer.New(relayer.Config{Store: path, Members: p, Peers: p, Log: logger.Discard()})
+	hosts["b"] = map[string]connector.Handler{"store_put": func(context.Context, json.RawMessage) (any, error) {
+		cancel()
+		return codec.RelayedReply{Outcome: codec.RelayOutcomeUnavailable}, nil
+	}}
+	_, err := a.Put(ctx, "kind/x", 0, json.RawMessage(`"v"`))
+	require.ErrorIs(t, err, connector.ErrOutcomeUnknown)
+}
