updater, assembler, peerconnector, operator: faults found by reading

- updater: an engine that left and came back while another one loaded from it had -1 children, so one load too many was allowed.
- assembler: one batch route with single versions made the models of all pools finish their runs before a load.
The wait for an edit to take effect says why the state is not known.
- limiter: its rapid test took the first key of a map, so a failed case could not be replayed.

--- a/operator/commander/edit.go
+++ b/operator/commander/edit.go
@@ -79,6 +79,9 @@
 	if cmd.String("author") == "" {
 		return usageError{fmt.Errorf("--author is empty; give the name that is shown with the edit")}
 	}
+	if err := checkUpdateFile(cmd); err != nil {
+		return err
+	}
 	file, err := readFiles(cmd)
 	if err != nil {
 		return err
@@ -104,6 +107,19 @@
 	return finishApply(ctx, cmd, c, result)
 }
 
+// checkUpdateFile refuses --update-file for a folder, in which no file has the revision line of the whole.
+func checkUpdateFile(cmd *cli.Command) error {
+	if !cmd.Bool("update-file") {
+		return nil
+	}
+	for _, path := range cmd.Args().Slice() {
+		if info, err := os.Stat(path); err == nil && info.IsDir() {
+			return usageError{fmt.Errorf("--update-file: %s is a folder; name its files", path)}
+		}
+	}
+	return nil
+}
+
 func newEdit(cmd *cli.Command, file reader.File, current *codec.Catalogue, changes int) codec.EditRequest {
 	base := current.Revision
 	if file.Revision != 0 {
@@ -180,10 +196,6 @@
 
 func updateFiles(cmd *cli.Command, revision identifier.Revision) error {
 	for _, path := range cmd.Args().Slice() {
-		info, err := os.Stat(path)
-		if err != nil || info.IsDir() {
-			continue
-		}
 		if _, err := reader.SetRevision(path, revision); err != nil {
 			return err
 		}
@@ -204,6 +216,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if err != nil {
+				return fmt.Errorf("revision %d was accepted; whether it is in effect is not known after %v: %w", revision, wait, err)
+			}
 			return fmt.Errorf("revision %d is in effect on %d of %d hosts after %v", revision, done, total, wait)
 		case <-time.After(pollPeriod):
 		}
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -146,18 +146,30 @@
 	if !h.catalogue.Apply(catalogue) {
 		return
 	}
-	finishRuns := make(map[identifier.ModelName]bool)
+	h.placer.Handle(placer.PoolsChanged{Pools: catalogue.Pools, FinishRuns: finishRuns(catalogue)})
+}
+
+// finishRuns returns the models whose running requests must end under the version with which they began: those of the pools
+// that serve batch jobs whose texts must have a single version.
+func finishRuns(catalogue *codec.Catalogue) map[identifier.ModelName]bool {
+	pools := make(map[identifier.PoolName]bool)
 	for _, entry := range catalogue.Entries {
-		if entry.Batch == nil || !entry.Batch.SingleVersion {
+		if entry.Batch == nil || !entry.Batch.SingleVersion || entry.Route == nil {
 			continue
 		}
-		for _, pool := range catalogue.Pools {
-			for _, model := range pool.Models {
-				finishRuns[model] = true
+		for _, share := range entry.Route.Pools {
+			pools[share.Pool] = pools[share.Pool] || share.Weight > 0
+		}
+	}
+	models := make(map[identifier.ModelName]bool)
+	for _, pool := range catalogue.Pools {
+		for _, model := range pool.Models {
+			if pools[pool.Name] {
+				models[model] = true
 			}
 		}
 	}
-	h.placer.Handle(placer.PoolsChanged{Pools: catalogue.Pools, FinishRuns: finishRuns})
+	return models
 }
 
 // applyUpstreams decodes the changed entries of upstreams and passes all readable ones to the lister.
--- a/service/limiter/limiter_test.go
+++ b/service/limiter/limiter_test.go
@@ -1,6 +1,8 @@
 package limiter_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -95,6 +97,11 @@
 	}
 }
 
+// drawID draws one of the requests. It does not take the first key of the map, so that a failed case can be replayed.
+func drawID(t *rapid.T, requests map[limiter.RequestID]limiter.Arrived) limiter.RequestID {
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(requests))).Draw(t, "request")
+}
+
 // Guards against exceeded limits, requests that are lost in the queue, training requests that overtake live ones, and retries
 // beyond the budget.
 func TestLimiterStateMachine(t *testing.T) {
@@ -126,21 +133,23 @@
 				m.apply(t, &e, commands)
 			},
 			"finish": func(t *rapid.T) {
-				for id, request := range m.running {
-					delete(m.running, id)
-					if request.Class == codec.EntryClassLive {
-						m.live--
-					}
-					m.apply(t, nil, m.limiter.Handle(m.now, limiter.Finished{ID: id}))
+				if len(m.running) == 0 {
 					return
 				}
+				id := drawID(t, m.running)
+				if m.running[id].Class == codec.EntryClassLive {
+					m.live--
+				}
+				delete(m.running, id)
+				m.apply(t, nil, m.limiter.Handle(m.now, limiter.Finished{ID: id}))
 			},
 			"leave": func(t *rapid.T) {
-				for id := range m.waiting {
-					delete(m.waiting, id)
-					m.apply(t, nil, m.limiter.Handle(m.now, limiter.CallerLeft{ID: id}))
+				if len(m.waiting) == 0 {
 					return
 				}
+				id := drawID(t, m.waiting)
+				delete(m.waiting, id)
+				m.apply(t, nil, m.limiter.Handle(m.now, limiter.CallerLeft{ID: id}))
 			},
 			"tick": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
--- a/service/peerconnector/link.go
+++ b/service/peerconnector/link.go
@@ -53,7 +53,8 @@
 	handlers *grouper.Group
 }
 
-// link returns the open connection to a peer or dials one; concurrent callers share one dial.
+// link returns the open connection to a peer or dials one; concurrent callers share one dial. The connection counts as running
+// a call, which call ends, so that a sweep does not close it in between.
 func (c *Connector) link(ctx context.Context, to codec.Member) (*link, error) {
 	if l := c.openLink(to); l != nil {
 		return l, nil
@@ -67,7 +68,9 @@
 		if r.Err != nil {
 			return nil, r.Err
 		}
-		return r.Val.(*link), nil
+		l := r.Val.(*link)
+		l.running.Add(1)
+		return l, nil
 	}
 }
 
@@ -80,6 +83,7 @@
 		return nil
 	}
 	l.touch()
+	l.running.Add(1)
 	return l
 }
 
@@ -174,18 +178,18 @@
 
 func (l *link) touch() { l.lastUse.Store(time.Now().UnixNano()) }
 
+// call makes a call on a connection that link has returned.
 func (l *link) call(ctx context.Context, method string, params, result any) error {
+	defer func() {
+		l.touch()
+		l.running.Add(-1)
+	}()
 	select {
 	case l.slots <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	l.running.Add(1)
-	defer func() {
-		l.touch()
-		l.running.Add(-1)
-		<-l.slots
-	}()
+	defer func() { <-l.slots }()
 	before := l.socket.received.Load()
 	err := l.conn.Call(ctx, method, params, result, jsonrpc2.Meta(l.sender()))
 	if errors.Is(err, context.DeadlineExceeded) && l.socket.received.Load() == before {
--- a/service/peerconnector/peerconnector_test.go
+++ b/service/peerconnector/peerconnector_test.go
@@ -199,3 +199,23 @@
 		require.Equal(t, received, b.Traffic().MessagesReceived)
 	}
 }
+
+// Guards against a sweep that closes a connection between the choice of the connection for a call and the start of the call.
+func TestSweepSparesConnectionsInUse(t *testing.T) {
+	a := newHost(t, "a", func(config *peerconnector.Config) { config.IdleTimeout = 6 * time.Millisecond })
+	b := newHost(t, "b", func(config *peerconnector.Config) { config.IdleTimeout = time.Minute })
+	callers := grouper.NewGroup(-1)
+	for range 4 {
+		callers.Go(func() {
+			for i := range 300 {
+				if err := a.Call(t.Context(), b.self, "echo", echo{}, nil); err != nil {
+					t.Errorf("call %d: %v", i, err)
+					return
+				}
+				// About the idle timeout, so that calls and sweeps meet.
+				time.Sleep(time.Duration(5+i%3) * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+}
--- a/service/peerconnector/serve.go
+++ b/service/peerconnector/serve.go
@@ -91,6 +91,8 @@
 		if l.disconnected() {
 			delete(c.links, l)
 		} else if l.expired(now) {
+			// From here on no call gets this connection.
+			l.retired.Store(true)
 			idle = append(idle, l)
 		}
 	}
--- a/service/updater/planner.go
+++ b/service/updater/planner.go
@@ -135,7 +135,7 @@
 	}
 	if source := r.takeSource(set); source != nil {
 		source.children++
-		state.source = source.engine.ID
+		state.source = source
 		r.send(now, state, target, kind, target.Version, source.engine.Address)
 		return
 	}
--- a/service/updater/rollout.go
+++ b/service/updater/rollout.go
@@ -66,9 +66,10 @@
 	polling  bool
 	polledAt time.Time
 	pollAt   time.Time
-	// order is the outstanding order, and source the engine from which it loads.
+	// order is the outstanding order, and source the engine from which it loads. source is not looked up again by its id: the
+	// engine may have left and come back meanwhile, without its children.
 	order  *codec.Order
-	source identifier.UpstreamID
+	source *engineState
 	// children counts the outstanding loads from this engine.
 	children int
 	// failures counts the failed orders in a row; the next order waits until notBefore.
@@ -322,10 +323,10 @@
 }
 
 func (r *Rollout) releaseSource(state *engineState) {
-	if source := r.engines[state.source]; source != nil {
-		source.children--
+	if state.source != nil {
+		state.source.children--
 	}
-	state.source = ""
+	state.source = nil
 }
 
 func (r *Rollout) applyOrder(now time.Time, state *engineState, order codec.Order) {
--- a/service/updater/rollout_test.go
+++ b/service/updater/rollout_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"celerygap.example/lib/codec"
@@ -160,3 +161,17 @@
 		}
 	})
 }
+
+// Guards against counts of children that become wrong, and allow more loads than wanted from one engine, when an engine leaves and
+// comes back while another one loads from it.
+func TestReturningSourceHasNoFormerChildren(t *testing.T) {
+	r := NewRollout(RolloutConfig{})
+	former, returned, loading := newEngineState(), newEngineState(), newEngineState()
+	former.children = 1
+	loading.source = former
+	r.engines["source"] = returned
+	r.releaseSource(loading)
+	require.Zero(t, former.children)
+	require.Zero(t, returned.children)
+	require.Nil(t, loading.source)
+}
