--- a/service/connector/request.go
+++ b/service/connector/request.go
@@ -81,7 +81,7 @@
 	Replayed bool
 	// Load is the load that the upstream reported with the response; nil when it reported none.
 	Load *codec.LoadReport
-	// Failures counts the responses of upstreams to this call that reported a failure, including this one if it did.
+	// Failures counts the responses with status 500 of upstreams to this call, including this one: they ran it and failed.
 	Failures int
 }
 
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -51,8 +51,8 @@
 	counted   bool
 	// maxAttempts bounds the attempts of this request.
 	maxAttempts int
-	// failures counts the attempts that ended with a failure response of the upstream; lastFailure is the last such
-	// response.
+	// failures counts the attempts that ended with status 500; lastFailure is the last failure response of an upstream,
+	// whatever its status.
 	failures    int
 	lastFailure *connector.PlainResponse
 	// freeRetryUsed is set once a retry after a crash was not charged to the retry budget.
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -117,7 +117,9 @@
 func (j *job) recordResponse(p placement, received connector.PlainResponse, err error) {
 	var failed *connector.UpstreamError
 	if errors.As(err, &failed) && failed.Response != nil {
-		j.failures++
+		if failed.Response.Status == http.StatusInternalServerError {
+			j.failures++
+		}
 		j.lastFailure = failed.Response
 		received = *failed.Response
 	}
--- a/service/dispatcher/route_test.go
+++ b/service/dispatcher/route_test.go
@@ -105,6 +105,13 @@
 	require.Equal(t, 500, response.Status)
 	require.Equal(t, 3, response.Failures)
 	require.Len(t, script.attempts, 3)
+
+	// An upstream that reached its time limit says nothing about the call: an item whose reward call ends so is not dead.
+	script = &scriptedClient{plain: []func(context.Context, connector.PlainCall) (connector.PlainResponse, error){failWith(500), failWith(504)}}
+	response, err = newRouteDispatcher(t, script, codec.RouteSpec{Idempotent: true, MaxAttempts: 3}).Call(t.Context(), routeRequest)
+	require.NoError(t, err)
+	require.Equal(t, 504, response.Status)
+	require.Equal(t, 1, response.Failures)
 }
 
 // Guards against a retry that runs a request twice although its route is not idempotent, whatever the method is.
