batcher: owners fill their own engines first and know the load of others; groups are listed when complete

- Engines that mainly serve another model cost more, so the owners of several models do not meet on the same engines while others are free.
The load that an engine states in any response gives the requests of other hosts for 300 ms.
- A result that completes a group is written at once instead of up to 250 ms later.
- One adoption of a job at a time: after a restart of all hosts each job was adopted twice within 0.3 s.

--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -135,8 +135,8 @@
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
 	Platform Platform
-	// NewUpstreams returns the clients of the upstreams. They report what responses show about an upstream, without waiting.
-	NewUpstreams func(report func(identifier.UpstreamID, connector.Evidence)) Upstreams
+	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show.
+	NewUpstreams func(connector.Observer) Upstreams
 	NewFront     func(Parts) Front
 }
 
@@ -237,7 +237,7 @@
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.dispatcher.ImportFlagged(proven, suspects) },
 	})
 	h.lister = lister.NewDriver(lister.DriverConfig{Timer: h.timer, Log: h.log, Pushed: true, OnPublish: h.publishUpstreams})
-	upstreams := h.config.NewUpstreams(h.lister.Report)
+	upstreams := h.config.NewUpstreams(observer{h})
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
@@ -252,6 +252,19 @@
 	h.callers = newServer(h.front.Handler())
 }
 
+// observer passes what responses show to the parts that use it.
+type observer struct{ host *Host }
+
+// Report passes evidence to the list of upstreams.
+func (o observer) Report(id identifier.UpstreamID, evidence connector.Evidence) {
+	o.host.lister.Report(id, evidence)
+}
+
+// ReportLoad passes a load to the scheduling of batch jobs; the dispatcher takes it from the responses to its own calls.
+func (o observer) ReportLoad(id identifier.UpstreamID, load codec.LoadReport) {
+	o.host.batcher.LoadReported(id, load)
+}
+
 // ready reports whether the host knows the configuration and the upstreams.
 func (h *Host) ready() bool {
 	select {
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -102,12 +102,7 @@
 		return err
 	}
 	for _, id := range ids {
-		if d.isDraining() || d.isOwned(id) {
-			continue
-		}
-		if err := d.adopt(ctx, id, adoption{}); err != nil {
-			return err
-		}
+		d.adoptOnRequest(id)
 	}
 	return nil
 }
@@ -210,9 +205,7 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode request for adoption", "peer", err)
 	}
-	if !d.isDraining() {
-		d.adoptOnRequest(request.Job)
-	}
+	d.adoptOnRequest(request.Job)
 	return struct{}{}, nil
 }
 
@@ -222,11 +215,12 @@
 	d.mu.Lock()
 	_, busy := d.adopting[id]
 	_, owned := d.owned[id]
-	if !busy && !owned {
+	skip := busy || owned || d.draining
+	if !skip {
 		d.adopting[id] = struct{}{}
 	}
 	d.mu.Unlock()
-	if busy || owned {
+	if skip {
 		return
 	}
 	d.work.Go(func() {
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -1,6 +1,8 @@
 package batcher
 
 import (
+	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -21,6 +23,9 @@
 	// loadCost is added to the slowness of an engine whose slots are all in use, and proportionally less below that. It
 	// is small because engines batch their requests: a busy one is hardly slower than an idle one.
 	loadCost = 0.2
+	// foreignCost is added to the slowness of an engine that mainly serves another model: the owner of that model's jobs fills it
+	// without knowing of this host's runs. It is larger than loadCost, so that such an engine is used once the own ones are full.
+	foreignCost = 0.3
 	// promptBonus is subtracted from the slowness of the engine that has already processed the group's prompt. It is
 	// small because processing a prompt takes a fraction of the time of one event.
 	promptBonus = 0.05
@@ -68,6 +73,11 @@
 	case EventReceived:
 		b.receive(now, e)
 		return b.commands
+	case LoadReported:
+		if reporting, ok := b.engines[e.Engine]; ok {
+			reporting.applyLoad(now, e.Load)
+		}
+		return nil
 	case RunEnded:
 		b.endRun(now, e)
 	case RewardEnded:
@@ -197,6 +207,7 @@
 		r.engine.measure(now, now.Sub(r.lastEventAt))
 	}
 	r.receivedEvent = true
+	r.engine.refusals = 0
 	r.lastEventAt = now
 	r.engine.seenVersions[j.job.Model] = max(r.engine.seenVersions[j.job.Model], e.Event.Version)
 	switch {
@@ -263,13 +274,15 @@
 		// The engine rejected the request itself, so another run would fail the same way.
 		j.finish(now, it, codec.ResultStateDead)
 	case connector.FailureUnavailable:
-		it.failures++
+		if isFailedRun(err) {
+			it.failures++
+		}
 		it.notBefore = now.Add(runRetryDelay)
 		if it.failures >= j.maxAttempts() {
 			j.finish(now, it, codec.ResultStateDead)
 		}
 	case connector.FailureNotStarted:
-		r.engine.pause(now, fullPause)
+		r.engine.refuse(now)
 	case connector.FailureBindingMismatch, connector.FailureTruncated:
 		it.notBefore = now.Add(runRetryDelay)
 	case connector.FailureTooLarge:
@@ -282,6 +295,13 @@
 	}
 }
 
+// isFailedRun reports whether an engine ran an item and failed. Other failure statuses, such as that of an engine that reached
+// its time limit, say nothing about the item.
+func isFailedRun(err error) bool {
+	var failed *connector.UpstreamError
+	return errors.As(err, &failed) && failed.Status == http.StatusInternalServerError
+}
+
 func (b *Batcher) endReward(now time.Time, e RewardEnded) {
 	j, ok := b.jobs[e.Job]
 	if !ok {
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -158,7 +158,7 @@
 func TestItemIsDeadAfterFailuresRejectionOrMaxAge(t *testing.T) {
 	x := newHarness(t)
 	x.engines(engine("a", 2, 8), engine("b", 2, 8))
-	x.openItems(codec.BatchSpec{MaxAge: identifier.Duration(time.Minute)}, item("fails", 30), item("refused", 20), item("slow", 10))
+	x.openItems(codec.BatchSpec{MaxAge: identifier.Duration(time.Minute)}, item("fails", 30), item("refused", 20), item("late", 15), item("slow", 10))
 	byItem := func(id identifier.ItemID) (run batcher.RunID) {
 		for _, c := range x.runs {
 			if c.Item.ID == id {
@@ -169,7 +169,10 @@
 	}
 	x.fail(byItem("refused"), connector.FailureRejected)
 	for range 3 {
-		x.fail(byItem("fails"), connector.FailureUnavailable)
+		for id, status := range map[identifier.ItemID]int{"fails": 500, "late": 504} {
+			failed := &connector.UpstreamError{Failure: connector.FailureUnavailable, Status: status, Err: errors.New("failed")}
+			x.handle(batcher.RunEnded{Run: byItem(id), Err: failed})
+		}
 		x.advanceClock(200 * time.Millisecond)
 	}
 	x.fail(byItem("slow"), connector.FailureConnectionLost)
@@ -194,6 +197,7 @@
 	x.advanceClock(time.Second)
 	collect()
 	require.Contains(t, dead, identifier.ItemID("slow"))
+	require.Contains(t, dead, identifier.ItemID("late"))
 }
 
 // Guards against scoring a text before it is complete, and against losing the item when the scorer fails.
@@ -568,3 +572,64 @@
 	x.advanceClock(2100 * time.Millisecond)
 	require.Len(t, x.runs, 2, "the engine may have loaded the listed version meanwhile")
 }
+
+// Guards against a group that trainers wait for and whose last result is held back with others to save a write.
+func TestCompleteGroupIsListedAtOnce(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("e1", 2, 8))
+	second := item("c", 10)
+	second.Group = "h"
+	x.openItems(codec.BatchSpec{}, item("a", 10), item("b", 10), second)
+	x.handle(batcher.RunEnded{Run: 1})
+	require.Empty(t, x.appends, "a single result waits for others")
+	x.handle(batcher.RunEnded{Run: 2})
+	require.Len(t, x.appends, 1)
+	require.Len(t, x.appends[0].Results, 2)
+}
+
+// Guards against an engine that loads weights and is sent run after run, all of which it refuses.
+func TestRefusingEngineIsTriedLessOften(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("e1", 2, 1))
+	x.openItems(codec.BatchSpec{}, item("a", 10))
+	refused := &connector.UpstreamError{Failure: connector.FailureNotStarted, Err: errors.New("full")}
+	for range 100 {
+		if _, running := x.runs[batcher.RunID(len(x.runs))]; running {
+			x.handle(batcher.RunEnded{Run: batcher.RunID(len(x.runs)), Err: refused})
+		}
+		x.advanceClock(10 * time.Millisecond)
+	}
+	require.Len(t, x.runs, 3, "at 0, 150 and 450 ms of the second that a load takes")
+	x.event(3, 1, 2)
+	require.Empty(t, x.stopped)
+}
+
+// Guards against owners of jobs of several models that fill the same engines while others are free: each begins with the engines
+// that mainly serve its model, and leaves out slots that it knows to be taken by others.
+func TestOwnEnginesAreFilledFirst(t *testing.T) {
+	both := func(id identifier.UpstreamID, own, other identifier.WeightVersion) codec.ListedHost {
+		host := engine(id, own, 2)
+		host.Models = append(host.Models, codec.ModelState{Model: "n", Serving: other})
+		return host
+	}
+	x := newHarness(t)
+	x.engines(both("e1", 2, 9), both("e2", 9, 2), both("e3", 9, 2))
+	x.openItems(codec.BatchSpec{}, item("a", 10), item("b", 10), item("c", 10), item("d", 10), item("e", 10))
+	used := make(map[identifier.UpstreamID]int)
+	for run := batcher.RunID(1); run <= 4; run++ {
+		used[x.runs[run].Engine.ID]++
+	}
+	require.Equal(t, map[identifier.UpstreamID]int{"e2": 2, "e3": 2}, used)
+	require.Equal(t, identifier.UpstreamID("e1"), x.runs[5].Engine.ID, "a full pool goes on with the others' engines")
+
+	x = newHarness(t)
+	x.engines(engine("e1", 2, 4), engine("e2", 2, 4))
+	x.handle(batcher.LoadReported{Engine: "e1", Load: codec.LoadReport{Running: 3, Queued: 1, Slots: 4}})
+	x.openItems(codec.BatchSpec{}, item("a", 10), item("b", 10), item("c", 10))
+	for _, run := range x.runs {
+		require.Equal(t, identifier.UpstreamID("e2"), run.Engine.ID)
+	}
+	x.advanceClock(400 * time.Millisecond)
+	x.handle(batcher.JobEnded{Job: "none"})
+	require.Len(t, x.runs, 3)
+}
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -144,6 +144,15 @@
 	d.handle(EnginesChanged{Engines: engines})
 }
 
+// LoadReported passes on the load that an engine has stated in a response, unless this host runs no items.
+func (d *Driver) LoadReported(id identifier.UpstreamID, load codec.LoadReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.owned) > 0 {
+		d.machine.Handle(time.Now(), LoadReported{Engine: id, Load: load})
+	}
+}
+
 // Run sends ticks and changes of routes to the state machine and reviews jobs whose owner may be gone, until ctx ends. It
 // returns nil after all runs and writes have ended.
 func (d *Driver) Run(ctx context.Context) error {
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,13 +19,17 @@
 	speedMaxAge = 4 * time.Second
 	// maxIntervalRatio caps a single interval at this multiple of the average.
 	maxIntervalRatio = 5
-	// fullPause is how long an engine gets no runs after it refused one without starting it.
-	fullPause = 150 * time.Millisecond
+	// fullPause is how long an engine gets no runs after it refused one without starting it. The pause doubles with each further
+	// refusal in a row, up to maxFullPause: an engine that loads weights refuses runs for about a second.
+	fullPause    = 150 * time.Millisecond
+	maxFullPause = 600 * time.Millisecond
 	// failedPause is how long an engine gets no runs after one failed or stalled on it; a crash takes seconds to appear
 	// in the list of engines.
 	failedPause = time.Second
 	// contradictionTime is about the time of two loads of weights.
 	contradictionTime = 2 * time.Second
+	// loadMaxAge is how long a stated load says something about the requests of other hosts.
+	loadMaxAge = 300 * time.Millisecond
 )
 
 // engine is an entry of the list of engines, with the load and speed that this host observes.
@@ -33,6 +38,8 @@
 	inFlight int
 	// usableAt is when the engine may get runs again.
 	usableAt time.Time
+	// refusals counts the refused runs since the last one that started.
+	refusals int
 	// eventInterval is the moving average of the time between two events of a run; measuredAt is its last update.
 	eventInterval time.Duration
 	measuredAt    time.Time
@@ -40,6 +47,11 @@
 	seenVersions map[identifier.ModelName]identifier.WeightVersion
 	// contradictions holds the models of which a response showed an older version than the entry in the list.
 	contradictions map[identifier.ModelName]contradiction
+	// model is the model that the engine mainly serves, or empty.
+	model identifier.ModelName
+	// others is the number of requests of other hosts on the engine, as of othersAt.
+	others   int
+	othersAt time.Time
 }
 
 // contradiction is a version in an engine's list entry that a response has shown to be wrong. It holds until the entry changes,
@@ -110,6 +122,15 @@
 	}
 }
 
+// refuse pauses the engine after it refused a run. Runs that are refused during a pause were sent before it.
+func (e *engine) refuse(now time.Time) {
+	if now.Before(e.usableAt) {
+		return
+	}
+	e.pause(now, min(fullPause<<min(e.refusals, 10), maxFullPause))
+	e.refusals++
+}
+
 // serves reports whether the engine may run items of a job.
 func (e *engine) serves(now time.Time, j *job) bool {
 	if e.host.State == codec.HostStateLeaving || now.Before(e.usableAt) || !j.allowsPool(e.host.Pool) {
@@ -119,7 +140,61 @@
 	return j.job.Model == "" || known && version >= j.job.MinVersion
 }
 
-func (e *engine) freeSlots() int { return e.slots() - e.inFlight }
+// applyLoad derives the requests of other hosts from the load that the engine has stated.
+func (e *engine) applyLoad(now time.Time, load codec.LoadReport) {
+	e.others = max(0, load.Running+load.Queued-e.inFlight)
+	e.othersAt = now
+}
+
+// freeSlots returns the slots that neither this host's runs nor, as far as it knows, the requests of others take up.
+func (e *engine) freeSlots(now time.Time) int {
+	free := e.slots() - e.inFlight
+	if now.Sub(e.othersAt) <= loadMaxAge {
+		free -= e.others
+	}
+	return free
+}
+
+// assignModels sets the model that each engine mainly serves: the one of which it has the newest weights, compared with the
+// newest ones among the engines. Engines that have the same of several models are divided among these in the order of zones and
+// ids, as the holder of the lease for orders divides them.
+func (b *Batcher) assignModels() {
+	newest := make(map[identifier.ModelName]identifier.WeightVersion)
+	engines := make([]*engine, 0, len(b.engines))
+	for _, e := range b.engines {
+		engines = append(engines, e)
+		for _, state := range e.host.Models {
+			newest[state.Model] = max(newest[state.Model], state.Serving)
+		}
+	}
+	slices.SortFunc(engines, func(x, y *engine) int {
+		return cmp.Or(cmp.Compare(x.host.Pool, y.host.Pool), cmp.Compare(x.host.Zone, y.host.Zone), cmp.Compare(x.host.ID, y.host.ID))
+	})
+	index := make(map[identifier.PoolName]int)
+	for _, e := range engines {
+		e.model = e.leastBehind(newest, index[e.host.Pool])
+		index[e.host.Pool]++
+	}
+}
+
+// leastBehind returns the model whose weights on the engine are the fewest versions behind; index chooses among equal ones.
+func (e *engine) leastBehind(newest map[identifier.ModelName]identifier.WeightVersion, index int) identifier.ModelName {
+	var best []identifier.ModelName
+	var bestLag identifier.WeightVersion
+	for _, state := range e.host.Models {
+		lag := newest[state.Model] - state.Serving
+		switch {
+		case len(best) == 0 || lag < bestLag:
+			best, bestLag = []identifier.ModelName{state.Model}, lag
+		case lag == bestLag:
+			best = append(best, state.Model)
+		}
+	}
+	if len(best) == 0 {
+		return ""
+	}
+	return best[index%len(best)]
+}
 
 // replaceEngines applies a new list and keeps the state of engines that remain. An engine that restarted under its ID or
 // changed its address counts as new.
@@ -141,6 +216,7 @@
 		b.engineIDs = append(b.engineIDs, id)
 	}
 	slices.Sort(b.engineIDs)
+	b.assignModels()
 }
 
 // typicalInterval returns the lower median of the engines' event intervals, or zero if no engine has a valid one.
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -41,6 +41,12 @@
 	Engines map[identifier.PoolName][]codec.ListedHost
 }
 
+// LoadReported delivers the load that an engine has stated.
+type LoadReported struct {
+	Engine identifier.UpstreamID
+	Load   codec.LoadReport
+}
+
 // EventReceived delivers one event of an item's text.
 type EventReceived struct {
 	Run   RunID
@@ -88,6 +94,7 @@
 func (JobDropped) isEvent()     {}
 func (RoutesChanged) isEvent()  {}
 func (EnginesChanged) isEvent() {}
+func (LoadReported) isEvent()   {}
 func (EventReceived) isEvent()  {}
 func (RunEnded) isEvent()       {}
 func (RewardEnded) isEvent()    {}
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -87,6 +87,8 @@
 	pending   []codec.BatchResult
 	pendingAt time.Time
 	inAppend  int
+	// groupCompleted is set when the pending results complete a group.
+	groupCompleted bool
 	// saving holds the texts of the SaveTexts in progress; savedAt is when the last one was emitted, and savingStopped
 	// is set once another host has added to the saved texts.
 	saving        map[*item]savedState
@@ -225,4 +227,10 @@
 		j.pendingAt = now
 	}
 	j.pending = append(j.pending, result)
+	j.groupCompleted = j.groupCompleted || it.spec.Group != "" && j.hasFinished(it.spec.Group)
+}
+
+// hasFinished reports whether all items of a group have a final result.
+func (j *job) hasFinished(group identifier.GroupID) bool {
+	return !slices.ContainsFunc(j.items, func(it *item) bool { return it.spec.Group == group && it.state != itemFinished })
 }
--- a/service/batcher/results.go
+++ b/service/batcher/results.go
@@ -64,15 +64,17 @@
 	b.emit(NotifyReaders{Job: e.Job})
 }
 
-// flush writes the pending results of each job after flushDelay, or at once if no item is unfinished.
+// flush writes the pending results of each job after flushDelay, or at once if they complete a group, which is what trainers wait
+// for, or if no item is unfinished.
 func (b *Batcher) flush(now time.Time) {
 	for id, j := range b.jobs {
 		if j.inAppend > 0 || len(j.pending) == 0 || j.ended {
 			continue
 		}
-		if now.Sub(j.pendingAt) < flushDelay && j.unfinished() > 0 {
+		if now.Sub(j.pendingAt) < flushDelay && !j.groupCompleted && j.unfinished() > 0 {
 			continue
 		}
+		j.groupCompleted = false
 		j.inAppend = len(j.pending)
 		j.pendingAt = now
 		b.emit(Append{Job: id, Results: slices.Clone(j.pending)})
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -65,21 +65,24 @@
 	}
 }
 
-// chooseEngine returns the free engine with the lowest cost: its slowness plus a small cost for its load, less a small
-// bonus if it has processed the group's prompt. It returns nil if no free engine may run items of the job.
+// chooseEngine returns the free engine with the lowest cost: its slowness plus a small cost for its load and one if it mainly
+// serves another model, less a small bonus if it has processed the group's prompt. It returns nil if no free engine may run items of the job.
 func (b *Batcher) chooseEngine(now time.Time, j *job, it *item) *engine {
 	typical := b.typicalInterval(now)
 	var best *engine
 	var bestCost float64
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if e.freeSlots() <= 0 || !e.serves(now, j) {
+		if e.freeSlots(now) <= 0 || !e.serves(now, j) {
 			continue
 		}
 		cost := e.slowness(now, typical) + loadCost*float64(e.inFlight)/float64(e.slots())
 		if b.promptEngines[groupKey{j.job.ID, it.spec.Group}] == id {
 			cost -= promptBonus
 		}
+		if e.model != "" && e.model != j.job.Model {
+			cost += foreignCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/service/batcher/straggler.go
+++ b/service/batcher/straggler.go
@@ -77,7 +77,7 @@
 	own := r.engine.slowness(now, typical)
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if e != r.engine && e.serves(now, r.job) && e.freeSlots() > moves && own > moveSlowness*e.slowness(now, typical) {
+		if e != r.engine && e.serves(now, r.job) && e.freeSlots(now) > moves && own > moveSlowness*e.slowness(now, typical) {
 			return true
 		}
 	}
--- a/service/connector/upstream.go
+++ b/service/connector/upstream.go
@@ -26,6 +26,14 @@
 	EvidenceConnectionLost Evidence = "connection_lost"
 )
 
+// Observer receives what the responses of upstreams show about them; its methods do not wait.
+type Observer interface {
+	// Report receives evidence about the state of an upstream.
+	Report(id identifier.UpstreamID, evidence Evidence)
+	// ReportLoad receives the load that an upstream has stated.
+	ReportLoad(id identifier.UpstreamID, load codec.LoadReport)
+}
+
 // EngineCall is one attempt on an engine.
 type EngineCall struct {
 	Upstream Upstream
--- a/service/dispatcher/placement.go
+++ b/service/dispatcher/placement.go
@@ -144,6 +144,7 @@
 	}
 	want.Pool = j.pool
 	want.Idle = p.isolated
+	want.IsolationKey = string(j.fingerprint)
 	want.Avoided = j.avoid
 	for _, command := range d.router.Handle(now, want) {
 		switch c := command.(type) {
--- a/service/router/events.go
+++ b/service/router/events.go
@@ -41,6 +41,9 @@
 	Avoided []identifier.UpstreamID
 	// Idle requests the upstream with the fewest attempts of this host, in order to run an isolated attempt on it.
 	Idle bool
+	// IsolationKey ranks the upstreams for an isolated attempt that have equally few attempts. Hosts that isolate different
+	// requests at the same time then choose different upstreams; otherwise a request that crashes one would take another with it.
+	IsolationKey string
 }
 
 // AttemptRefused means that an upstream refused an attempt because it was full.
--- a/service/router/node.go
+++ b/service/router/node.go
@@ -136,8 +136,7 @@
 	return sorted
 }
 
-func leastInFlight(nodes []*node) *node {
-	return slices.MinFunc(nodes, func(a, b *node) int {
-		return cmp.Or(cmp.Compare(a.inFlight, b.inFlight), cmp.Compare(a.upstream.ID, b.upstream.ID))
-	})
+// leastInFlight returns the node with the fewest attempts, and among several the first one of the rendezvous hash for a key.
+func leastInFlight(nodes []*node, key uint64) *node {
+	return slices.MinFunc(ranked(nodes, key), func(a, b *node) int { return cmp.Compare(a.inFlight, b.inFlight) })
 }
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -215,7 +215,7 @@
 		return []Command{NoneAvailable{}}
 	}
 	if e.Idle {
-		return []Command{Chosen{leastInFlight(candidates).upstream}}
+		return []Command{Chosen{leastInFlight(candidates, xxhash.Sum64String(e.IsolationKey)).upstream}}
 	}
 	prefix := e.Prompt[:min(len(e.Prompt), int(r.config.PrefixLength))]
 	view := view{now: now, reportMaxAge: r.config.ReportMaxAge, key: xxhash.Sum64String(prefix)}
