--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -26,6 +26,8 @@
 	// foreignCost is added to the slowness of an engine that mainly serves another model: the owner of that model's jobs fills it
 	// without knowing of this host's runs. It is larger than loadCost, so that such an engine is used once the own ones are full.
 	foreignCost = 0.3
+	// returnCost is added to the slowness of the engine from which a text was moved, whose slot is free again at once.
+	returnCost = 0.5
 	// promptBonus is subtracted from the slowness of the engine that has already processed the group's prompt. It is
 	// small because processing a prompt takes a fraction of the time of one event.
 	promptBonus = 0.05
@@ -206,6 +208,7 @@
 	if r.receivedEvent {
 		r.engine.measure(now, now.Sub(r.lastEventAt))
 	}
+	r.measure(now)
 	r.receivedEvent = true
 	r.engine.refusals = 0
 	r.lastEventAt = now
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -633,3 +633,31 @@
 	x.handle(batcher.JobEnded{Job: "none"})
 	require.Len(t, x.runs, 3)
 }
+
+// Guards against texts that move on every small difference of speed, as between two events, until they have used up their moves
+// and stay on an engine that turns really slow later.
+func TestTextsMoveOnlyForARealGain(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("a", 2, 1), engine("b", 2, 1))
+	x.openItems(codec.BatchSpec{}, item("long", 100), item("short", 50))
+	first := x.runs[1].Engine.ID
+	for n := identifier.EventNumber(1); n <= 60; n++ {
+		x.advanceClock([]time.Duration{20, 60, 45, 35}[n%4] * time.Millisecond)
+		x.event(1, n, 2)
+		x.event(2, n, 2)
+	}
+	x.handle(batcher.RunEnded{Run: 2})
+	x.advanceClock(10 * time.Millisecond)
+	require.Empty(t, x.stopped, "events that come unevenly are no slow engine")
+	for n := identifier.EventNumber(61); len(x.stopped) == 0; n++ {
+		require.Less(t, n, identifier.EventNumber(70))
+		for range 3 {
+			x.advanceClock(40 * time.Millisecond)
+		}
+		x.event(1, n, 2)
+	}
+	require.Equal(t, batcher.StopSlowEngine, x.stopped[1])
+	x.fail(1, connector.FailureCancelled)
+	require.Len(t, x.runs, 3)
+	require.NotEqual(t, first, x.runs[3].Engine.ID, "the text must not return to the slow engine")
+}
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -46,8 +46,9 @@
 	savedAll bool
 	// restarts counts how often the text was cleared.
 	restarts int
-	// moves counts the runs that were moved away from slow engines.
-	moves int
+	// moves counts the runs that were moved away from slow engines; movedFrom is the last of these engines.
+	moves     int
+	movedFrom identifier.UpstreamID
 }
 
 // run is one run of an item on an engine.
@@ -59,6 +60,9 @@
 	// lastEventAt is when the last event arrived, or the start of the run before the first event.
 	lastEventAt   time.Time
 	receivedEvent bool
+	// events is the number of events received; eventInterval is the moving average of the time between them.
+	events        int
+	eventInterval time.Duration
 	// stopped is set when StopRun is emitted.
 	stopped StopReason
 }
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -80,6 +80,9 @@
 		if b.promptEngines[groupKey{j.job.ID, it.spec.Group}] == id {
 			cost -= promptBonus
 		}
+		if it.movedFrom == id {
+			cost += returnCost
+		}
 		if e.model != "" && e.model != j.job.Model {
 			cost += foreignCost
 		}
