tester: TestStreamContinuesOnAnotherEngine kills one engine

Until the resumed request always went to the idle engine with the lowest id, which the loop had passed. The checks are as before.

--- a/tester/failure_test.go
+++ b/tester/failure_test.go
@@ -83,12 +83,17 @@
 		if part != 5 {
 			return
 		}
+		// The engine is found before it is killed: the request resumes at once, on an engine that must not be killed, too.
 		for _, engine := range c.engines {
 			if len(engineRecord(t, engine).Runs) > 0 {
-				engine.kill()
 				killed = engine.name
 			}
 		}
+		for _, engine := range c.engines {
+			if engine.name == killed {
+				engine.kill()
+			}
+		}
 	})
 	require.NotEmpty(t, killed)
 	require.NoError(t, s.err)
