--- a/service/retirer/doc.go
+++ b/service/retirer/doc.go
@@ -1,2 +1,2 @@
-// Package retirer reports a host with a disk as empty when the operator requests that it be emptied.
+// Package retirer reports hosts with disks as empty when the operator requests that they be emptied.
 package retirer
