spreader: hosts that all watch the store do not request each other's state

Cause, seen by reading: a host counts its state as unconfirmed 0.7 s after its last comparison, which a host without recipients makes only when something changes. In zones of up to three hosts each asked up to three others four times a second and kind, and none had a confirmed state to give. TestDirectHostsRequestOnlyTheirFirstState fails without the change. Hosts of larger zones are not concerned.

--- a/service/spreader/spreader.go
+++ b/service/spreader/spreader.go
@@ -63,7 +63,7 @@
 	Follow bool
 	// Recipients holds the hosts to which this one pushes the state.
 	Recipients []codec.Member
-	// Sources holds the hosts that may have a current state, the most likely one first.
+	// Sources holds the hosts that may have a current state, the most likely one first; none if this host needs no other's.
 	Sources []codec.Member
 }
 
@@ -91,7 +91,10 @@
 	settled := !s.settledAt.IsZero()
 	root, _ := elector.Choose(s.kind, region)
 	if len(zone) <= maxDirectHosts {
-		role := Role{Follow: settled, Sources: s.without(live)}
+		role := Role{Follow: settled}
+		if !s.Known() {
+			role.Sources = s.without(live)
+		}
 		if settled && root.ID == s.self.ID {
 			role.Recipients = s.heads(region)
 		}
--- a/service/spreader/spreader_test.go
+++ b/service/spreader/spreader_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Guards against hosts of a small zone that request the state from each other again and again, although each watches the store
+// itself and none has it confirmed.
+func TestDirectHostsRequestOnlyTheirFirstState(t *testing.T) {
+	now := time.Now()
+	live := fleet(3)
+	s := spreader.New(live[0], "kind/")
+	s.Settle(now)
+	require.NotEmpty(t, s.Role(now, live).Sources)
+	s.Apply(1, state(map[string]int64{"x": 1}))
+	s.Check(now)
+	later := now.Add(10 * time.Second)
+	require.True(t, s.Role(later, live).Follow)
+	require.Empty(t, s.Role(later, live).Sources)
+}
+
 // Guards against a host that keeps an outdated state after its watcher fails, and against a failed watcher that makes all
 // hosts call the store at once: the heads of the zones come first, then their substitutes, and no host waits longer than two
 // seconds.
