--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -661,3 +661,20 @@
 	require.Len(t, x.runs, 3)
 	require.NotEqual(t, first, x.runs[3].Engine.ID, "the text must not return to the slow engine")
 }
+
+// Guards against a text that moves because its first two events came slowly, while an engine that was measured before is free.
+func TestTextsDoNotMoveOnTheirFirstEvents(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("a", 2, 1), engine("b", 2, 1))
+	x.openItems(codec.BatchSpec{}, item("long", 100), item("short", 50))
+	for n := identifier.EventNumber(1); n <= 10; n++ {
+		x.advanceClock(35 * time.Millisecond)
+		x.event(2, n, 2)
+	}
+	x.handle(batcher.RunEnded{Run: 2})
+	x.event(1, 1, 2)
+	x.advanceClock(60 * time.Millisecond)
+	x.event(1, 2, 2)
+	x.advanceClock(50 * time.Millisecond)
+	require.Empty(t, x.stopped)
+}
