--- a/service/lister/driver.go
+++ b/service/lister/driver.go
@@ -367,7 +367,10 @@
 				d.config.OnPublish(c)
 			}
 		case LogLeaving:
-			d.config.Log.Info(logger.UpstreamLeaving).Str("upstream", string(c.ID)).Send()
+			d.config.Log.Info(logger.UpstreamLeaving).Str("upstream", string(c.ID)).Str("source", string(c.Source)).Send()
+		case LogAnnouncementDropped:
+			d.config.Log.Info(logger.AnnouncementDropped).Str("upstream", string(c.ID)).Time("announced_by", c.AnnouncedBy).
+				Time("listed_start", c.ListedStart).Dur("age", c.Age).Send()
 		}
 	}
 }
--- a/service/lister/lister.go
+++ b/service/lister/lister.go
@@ -88,10 +88,34 @@
 }
 
 // LogLeaving logs that an upstream has begun to count as leaving.
-type LogLeaving struct{ ID identifier.UpstreamID }
+type LogLeaving struct {
+	ID     identifier.UpstreamID
+	Source LeavingSource
+}
+
+// LogAnnouncementDropped logs that the announcement of an upstream no longer counts, because the list has an entry of a later
+// process with the same id.
+type LogAnnouncementDropped struct {
+	ID identifier.UpstreamID
+	// AnnouncedBy is the start of the announcing process in the list at that time, or zero; ListedStart is that of the entry.
+	AnnouncedBy, ListedStart time.Time
+	// Age is the time since the announcement or since a later entry of the announcing process.
+	Age time.Duration
+}
 
-func (Publish) isCommand()    {}
-func (LogLeaving) isCommand() {}
+func (Publish) isCommand()                {}
+func (LogLeaving) isCommand()             {}
+func (LogAnnouncementDropped) isCommand() {}
+
+// LeavingSource is what showed that an upstream is leaving, as it appears in logs.
+type LeavingSource string
+
+// The sources of the state leaving.
+const (
+	SourceList         LeavingSource = "list"
+	SourceAnnouncement LeavingSource = "announcement"
+	SourceRefusals     LeavingSource = "refusals"
+)
 
 // Lister is the state machine that decides which upstreams are known and usable. It is not safe for concurrent use.
 type Lister struct {
@@ -166,10 +190,13 @@
 	var commands []Command
 	next := make(map[identifier.UpstreamID]*host, len(list.Hosts))
 	for _, listed := range list.Hosts {
+		if dropped, ok := l.dropAnnouncement(now, listed); ok {
+			commands = append(commands, dropped)
+		}
 		h, startedLeaving := l.merge(now, listed)
 		next[listed.ID] = h
 		if startedLeaving {
-			commands = append(commands, LogLeaving{ID: listed.ID})
+			commands = append(commands, LogLeaving{ID: listed.ID, Source: h.leavingSource()})
 		}
 	}
 	l.hosts = next
@@ -207,20 +234,25 @@
 	return known, !wasLeaving && listed.State == codec.HostStateLeaving
 }
 
-// recallAnnouncement reports whether the process of a list entry stated that it is leaving. The announcement of an earlier
-// process with the same id is forgotten.
-func (l *Lister) recallAnnouncement(now time.Time, listed codec.ListedHost) bool {
+// dropAnnouncement forgets the announcement of an earlier process with the same id, and reports whether there was one.
+func (l *Lister) dropAnnouncement(now time.Time, listed codec.ListedHost) (dropped LogAnnouncementDropped, ok bool) {
 	known, ok := l.announcements[listed.ID]
-	switch {
-	case !ok:
-		return false
-	case !known.by(listed):
-		delete(l.announcements, listed.ID)
+	if !ok || known.by(listed) {
+		return LogAnnouncementDropped{}, false
+	}
+	delete(l.announcements, listed.ID)
+	return LogAnnouncementDropped{
+		ID: listed.ID, AnnouncedBy: known.startedAt, ListedStart: listed.StartedAt, Age: now.Sub(known.lastSeen),
+	}, true
+}
+
+// recallAnnouncement reports whether the process of a list entry stated that it is leaving.
+func (l *Lister) recallAnnouncement(now time.Time, listed codec.ListedHost) bool {
+	if _, ok := l.announcements[listed.ID]; !ok {
 		return false
-	default:
-		l.announcements[listed.ID] = announcement{startedAt: listed.StartedAt, lastSeen: now}
-		return true
 	}
+	l.announcements[listed.ID] = announcement{startedAt: listed.StartedAt, lastSeen: now}
+	return true
 }
 
 // restore ends an outage and a leaving state that follows from refusals. The count of failures stays, so that the outage
@@ -243,7 +275,7 @@
 	l.apply(now, h, e.Evidence)
 	var commands []Command
 	if !wasLeaving && h.leaving(now) {
-		commands = append(commands, LogLeaving{ID: e.ID})
+		commands = append(commands, LogLeaving{ID: e.ID, Source: h.leavingSource()})
 	}
 	if wasUsable != h.usable(now) || wasLeaving != h.leaving(now) {
 		commands = append(commands, l.publish(now))
@@ -337,6 +369,18 @@
 	return h.listed.State == codec.HostStateLeaving || h.announced || now.Before(h.leavingUntil)
 }
 
+// leavingSource returns what shows that a host is leaving; of several sources, the one that holds longest.
+func (h *host) leavingSource() LeavingSource {
+	switch {
+	case h.announced:
+		return SourceAnnouncement
+	case h.listed.State == codec.HostStateLeaving:
+		return SourceList
+	default:
+		return SourceRefusals
+	}
+}
+
 func (l *Lister) publish(now time.Time) Publish {
 	p := Publish{
 		Pools: make(map[identifier.PoolName][]connector.Upstream), Listed: make(map[identifier.PoolName][]codec.ListedHost),
