lister: an announcement of leaving is not lost to a list entry that lags

A request could reach an engine long after a host had its announcement (Server-Leaving), if the engine had restarted under its id.

Cause: the lister assigned an announcement to the process whose start was in the list at that moment. The list lags behind the responses: an engine that restarts behind a cut announces that it leaves while its former entry still stands. Once the entry of the process that had spoken arrived, its start differed, and the announcement was dropped as one of an earlier process. A late write of a former process did the same.

Change: an announcement counts for each process that had started by then, and is dropped only for a later start. This compares the engine's clock with the host's, so it holds for five minutes at most; the process known at the time keeps it for good.

Before: TestLeavingIsKeptWhenTheEntryOfTheAnnouncingProcessArrivesLate, TestLeavingIsKeptWhenAnEntryOfAFormerProcessReturns and TestAnnouncementOfAProcessWithAnotherStartExpires failed, each with state live where leaving is expected. They pass now.

--- a/service/lister/announcement_test.go
+++ b/service/lister/announcement_test.go
@@ -63,3 +63,48 @@
 	h.list(2, startedAt(listed("u", live), h.now.Add(time.Second)))
 	require.Equal(t, "live", h.state())
 }
+
+// Guards against new work for an upstream that restarted under its id, and whose new process announced that it is leaving
+// while the list still had the entry of the former one.
+func TestLeavingIsKeptWhenTheEntryOfTheAnnouncingProcessArrivesLate(t *testing.T) {
+	h := newHarness(t)
+	h.list(1, startedAt(listed("u", live), h.now))
+	h.advance(10 * time.Second)
+	restarted := h.now
+	h.advance(time.Second)
+	h.report(connector.EvidenceAnnouncedLeaving)
+	require.Equal(t, "leaving", h.state())
+	h.advance(time.Second)
+	h.list(2, startedAt(listed("u", live), restarted))
+	require.Equal(t, "leaving", h.state())
+}
+
+// Guards against new work for a leaving upstream after a late write of its former process has replaced its entry for a while.
+func TestLeavingIsKeptWhenAnEntryOfAFormerProcessReturns(t *testing.T) {
+	h := newHarness(t)
+	former := h.now
+	h.advance(10 * time.Second)
+	current := h.now
+	h.list(1, startedAt(listed("u", live), current))
+	h.advance(time.Second)
+	h.report(connector.EvidenceAnnouncedLeaving)
+	h.list(2, startedAt(listed("u", live), former))
+	require.Equal(t, "leaving", h.state())
+	h.list(3, startedAt(listed("u", live), current))
+	require.Equal(t, "leaving", h.state())
+}
+
+// Guards against an upstream that is never used again because its clock is behind: its new process appears to be older than the
+// announcement of the former one.
+func TestAnnouncementOfAProcessWithAnotherStartExpires(t *testing.T) {
+	h := newHarness(t)
+	h.list(1, startedAt(listed("u", live), h.now))
+	h.advance(10 * time.Second)
+	h.report(connector.EvidenceAnnouncedLeaving)
+	entry := startedAt(listed("u", live), h.now.Add(-time.Second))
+	h.list(2, entry)
+	require.Equal(t, "leaving", h.state())
+	h.advance(10 * time.Minute)
+	h.list(3, entry)
+	require.Equal(t, "live", h.state())
+}
--- a/service/lister/lister.go
+++ b/service/lister/lister.go
@@ -27,8 +27,8 @@
 	restartThreshold = 3
 	// noRevision is lower than that of any list.
 	noRevision = -1
-	// announcementMemory is how long the announcement of an upstream is remembered while the list does not contain the
-	// upstream: an entry that lapsed during an outage of the store comes back within seconds.
+	// announcementMemory is how long the announcement of an upstream is remembered while the list does not contain the process
+	// that was known then: an entry that lapsed during an outage of the store comes back within seconds.
 	announcementMemory = 5 * time.Minute
 	// failureResetTime is the time since the last failure after which an outage starts with Config.FirstOutage again.
 	failureResetTime = time.Minute
@@ -99,7 +99,7 @@
 	ID identifier.UpstreamID
 	// AnnouncedBy is the start of the announcing process in the list at that time, or zero; ListedStart is that of the entry.
 	AnnouncedBy, ListedStart time.Time
-	// Age is the time since the announcement or since a later entry of the announcing process.
+	// Age is the time since the announcement.
 	Age time.Duration
 }
 
@@ -130,19 +130,23 @@
 
 // announcement records that an upstream stated that it is leaving.
 type announcement struct {
-	// startedAt identifies the process that stated it; it is zero if the list did not contain the upstream.
+	// listed reports whether the list had an entry of the upstream then, and startedAt is the start in it. The entry may lag, so
+	// it may be that of a former process.
+	listed    bool
 	startedAt time.Time
+	// statedAt is when the upstream last stated it.
+	statedAt time.Time
 	// lastSeen is when the upstream last stated it or was last listed.
 	lastSeen time.Time
 }
 
-// by reports whether the process of a list entry stated that it is leaving. If its start was not known at that time, any
-// process that had started by then counts.
-func (a announcement) by(listed codec.ListedHost) bool {
-	if a.startedAt.IsZero() {
-		return !listed.StartedAt.After(a.lastSeen)
+// by reports whether the process of a list entry may have stated that it is leaving: it has the start that was known then, or
+// had started by then. The latter compares the clocks of two machines, so it holds for announcementMemory only.
+func (a announcement) by(now time.Time, listed codec.ListedHost) bool {
+	if a.listed && listed.StartedAt.Equal(a.startedAt) {
+		return true
 	}
-	return listed.StartedAt.Equal(a.startedAt)
+	return !listed.StartedAt.After(a.statedAt) && now.Sub(a.statedAt) <= announcementMemory
 }
 
 type host struct {
@@ -156,7 +160,7 @@
 	refusals int
 	// leavingUntil is how long the host counts as leaving because of refusals.
 	leavingUntil time.Time
-	// announced is set once the host has stated that it is leaving. Neither the list nor later responses revoke it.
+	// announced is set while an announcement of the host counts. Neither a newer entry of its process nor later responses end it.
 	announced bool
 }
 
@@ -230,6 +234,7 @@
 	if wasLeaving {
 		known.listed.State = codec.HostStateLeaving
 	}
+	known.announced = announced
 	known.restore()
 	return known, !wasLeaving && listed.State == codec.HostStateLeaving
 }
@@ -237,21 +242,23 @@
 // dropAnnouncement forgets the announcement of an earlier process with the same id, and reports whether there was one.
 func (l *Lister) dropAnnouncement(now time.Time, listed codec.ListedHost) (dropped LogAnnouncementDropped, ok bool) {
 	known, ok := l.announcements[listed.ID]
-	if !ok || known.by(listed) {
+	if !ok || known.by(now, listed) {
 		return LogAnnouncementDropped{}, false
 	}
 	delete(l.announcements, listed.ID)
 	return LogAnnouncementDropped{
-		ID: listed.ID, AnnouncedBy: known.startedAt, ListedStart: listed.StartedAt, Age: now.Sub(known.lastSeen),
+		ID: listed.ID, AnnouncedBy: known.startedAt, ListedStart: listed.StartedAt, Age: now.Sub(known.statedAt),
 	}, true
 }
 
 // recallAnnouncement reports whether the process of a list entry stated that it is leaving.
 func (l *Lister) recallAnnouncement(now time.Time, listed codec.ListedHost) bool {
-	if _, ok := l.announcements[listed.ID]; !ok {
+	known, ok := l.announcements[listed.ID]
+	if !ok {
 		return false
 	}
-	l.announcements[listed.ID] = announcement{startedAt: listed.StartedAt, lastSeen: now}
+	known.lastSeen = now
+	l.announcements[listed.ID] = known
 	return true
 }
 
@@ -285,8 +292,9 @@
 
 // recordAnnouncement remembers that an upstream stated that it is leaving; h is nil if the list does not contain it.
 func (l *Lister) recordAnnouncement(now time.Time, id identifier.UpstreamID, h *host) {
-	stated := announcement{lastSeen: now}
+	stated := announcement{statedAt: now, lastSeen: now}
 	if h != nil {
+		stated.listed = true
 		stated.startedAt = h.listed.StartedAt
 	}
 	l.announcements[id] = stated
