pacer: all hosts together keep to the limit that an engine names

What callers saw: nothing directly.

Cause: nothing read the header, and each host decides alone whether to send. The class: a limit that holds for the whole fleet, enforced by no one.

Change: service/pacer. One host for each upstream hands out turns, spaced by the limit; each attempt of the dispatcher and each run of the batcher uses one up, so retries, resumed streams, items and reward calls are covered by the same two places. Limits and their end travel with the requests for turns. A response without a limit ends it only if its request was sent after the limit was named. A request whose turn comes after its deadline is refused at once (upstreams_limited, not run, with the time of the next turn as Retry-After).

Reports of engines, which the placer polls five times a second during a load, take no turns.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -679,6 +679,15 @@
 	Value string `json:"value"`
 }
 
+// HeardLimit What a response of an upstream showed about its limit.
+type HeardLimit struct {
+	// Age How long ago the limit was heard.
+	Age Duration `json:"age"`
+
+	// PerSecond The requests a second from all hosts together; 0 if the response named no limit.
+	PerSecond float64 `json:"per_second"`
+}
+
 // HostID defines model for HostID.
 type HostID = identifier.HostID
 
@@ -1283,6 +1292,28 @@
 	Version WeightVersion `json:"version"`
 }
 
+// TurnReply defines model for TurnReply.
+type TurnReply struct {
+	// Limit What a response of an upstream showed about its limit.
+	Limit HeardLimit `json:"limit"`
+
+	// RetryAfter The time after which a request for turns may succeed, if there are none.
+	RetryAfter Duration `json:"retry_after,omitempty"`
+
+	// Turns The time from the receipt of the reply after which each turn may be used.
+	Turns []Duration `json:"turns,omitempty"`
+}
+
+// TurnRequest Requests turns for an upstream that limits its requests, from the host that hands them out. It carries what the sender last heard of the limit.
+type TurnRequest struct {
+	// Count The number of turns; 0 only reports the limit.
+	Count int `json:"count,omitempty"`
+
+	// Limit What a response of an upstream showed about its limit.
+	Limit    HeardLimit `json:"limit"`
+	Upstream UpstreamID `json:"upstream"`
+}
+
 // UpstreamID defines model for UpstreamID.
 type UpstreamID = identifier.UpstreamID
 
--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -19,6 +19,7 @@
 	DeadlineTooShort       Reason = "deadline_too_short"
 	DeadlineExceeded       Reason = "deadline_exceeded"
 	NoUpstream             Reason = "no_upstream"
+	UpstreamsLimited       Reason = "upstreams_limited"
 	RetryBudgetSpent       Reason = "retry_budget_spent"
 	AttemptsExhausted      Reason = "attempts_exhausted"
 	CrashesUpstreams       Reason = "crashes_upstreams"
@@ -78,6 +79,7 @@
 	{DeadlineTooShort, http.StatusServiceUnavailable, "The request cannot be finished before its deadline."},
 	{DeadlineExceeded, http.StatusGatewayTimeout, "The deadline passed while the request ran."},
 	{NoUpstream, http.StatusServiceUnavailable, "No upstream of the pool can take work."},
+	{UpstreamsLimited, http.StatusServiceUnavailable, "The upstreams limit their requests, and the turn of this one comes after its deadline."},
 	{RetryBudgetSpent, http.StatusServiceUnavailable, "An attempt failed and the retry budget is used up."},
 	{AttemptsExhausted, http.StatusBadGateway, "Every allowed attempt failed."},
 	{CrashesUpstreams, http.StatusUnprocessableEntity, "This request is known to crash the upstreams that run it."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -25,6 +25,7 @@
 	"celerygap.example/service/dispatcher"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/matcher"
+	"celerygap.example/service/pacer"
 	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/prober"
@@ -158,6 +159,7 @@
 	dispatcher *dispatcher.Dispatcher
 	batcher    *batcher.Driver
 	placer     *placer.Driver
+	pacer      *pacer.Driver
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -237,11 +239,14 @@
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.dispatcher.ImportFlagged(proven, suspects) },
 	})
 	h.lister = lister.NewDriver(lister.DriverConfig{Timer: h.timer, Log: h.log, Pushed: true, OnPublish: h.publishUpstreams})
+	h.pacer = pacer.NewDriver(pacer.DriverConfig{
+		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnTurn: func() { h.dispatcher.Recheck() },
+	})
 	upstreams := h.config.NewUpstreams(observer{h})
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
-		Limiter:   limiterConfig,
+		Limiter: limiterConfig, Pacer: h.pacer,
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
 	h.buildBatcherAndPlacer(upstreams)
@@ -265,6 +270,11 @@
 	o.host.batcher.LoadReported(id, load)
 }
 
+// ReportLimit passes the limit that an upstream names to the pacer.
+func (o observer) ReportLimit(id identifier.UpstreamID, perSecond float64, sentAt time.Time) {
+	o.host.pacer.ReportLimit(id, perSecond, sentAt)
+}
+
 // ready reports whether the host knows the configuration and the upstreams.
 func (h *Host) ready() bool {
 	select {
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -53,7 +53,7 @@
 			entry, found, _ := h.match(host, path)
 			return entry, found
 		},
-		Catalogue: h.catalogue, Upstreams: h.lister, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
+		Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults, Settled: h.settled, FirstStart: settings.FirstStart,
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
@@ -102,6 +102,7 @@
 		{Name: "dispatcher", Run: h.dispatcher.Run},
 		{Name: "batcher", Run: h.batcher.Run},
 		{Name: "placer", Run: h.placer.Run},
+		{Name: "pacer", Run: h.pacer.Run},
 		{Name: "configuration", Run: h.configuration.Run},
 		{Name: "upstreams", Run: h.upstreams.Run},
 		{Name: "retirer", Run: h.newRetirer().Run},
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -42,17 +42,48 @@
 	lastRun   RunID
 	// promptEngines holds the engine that last processed the shared prompt of a group.
 	promptEngines map[groupKey]identifier.UpstreamID
-	commands      []Command
+	// pacer keeps the runs within the limits that engines name; withoutTurn holds the engines that have none in this pass of
+	// schedule.
+	pacer       Pacer
+	withoutTurn map[identifier.UpstreamID]struct{}
+	commands    []Command
 }
 
+// Pacer tells whether the limits that engines name allow a run.
+type Pacer interface {
+	// Take uses up a turn for one run on an engine, if there is one, and requests one otherwise.
+	Take(id identifier.UpstreamID) (ok bool, earliest time.Time)
+	// Available reports whether Take would succeed now.
+	Available(id identifier.UpstreamID) bool
+}
+
+// unlimited is the Pacer of engines that name no limits.
+type unlimited struct{}
+
+// Take always succeeds.
+func (unlimited) Take(identifier.UpstreamID) (ok bool, earliest time.Time) { return true, time.Time{} }
+
+// Available is always true.
+func (unlimited) Available(identifier.UpstreamID) bool { return true }
+
 type groupKey struct {
 	job   identifier.BatchID
 	group identifier.GroupID
 }
 
+// Config configures a Batcher.
+type Config struct {
+	// Pacer keeps the runs within the limits that engines name; nil means that they name none.
+	Pacer Pacer
+}
+
 // New returns a batcher without jobs.
-func New() *Batcher {
+func New(config Config) *Batcher {
+	if config.Pacer == nil {
+		config.Pacer = unlimited{}
+	}
 	return &Batcher{
+		pacer: config.Pacer, withoutTurn: make(map[identifier.UpstreamID]struct{}),
 		jobs: make(map[identifier.BatchID]*job), engines: make(map[identifier.UpstreamID]*engine),
 		runs: make(map[RunID]*run), promptEngines: make(map[groupKey]identifier.UpstreamID),
 	}
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -33,9 +33,11 @@
 	appends []batcher.Append
 }
 
-func newHarness(t require.TestingT) *harness {
+func newHarness(t require.TestingT) *harness { return newPacedHarness(t, nil) }
+
+func newPacedHarness(t require.TestingT, pacer batcher.Pacer) *harness {
 	return &harness{
-		t: t, b: batcher.New(), now: time.Now(), runs: make(map[batcher.RunID]batcher.StartRun),
+		t: t, b: batcher.New(batcher.Config{Pacer: pacer}), now: time.Now(), runs: make(map[batcher.RunID]batcher.StartRun),
 		stopped: make(map[batcher.RunID]batcher.StopReason),
 	}
 }
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -52,7 +52,9 @@
 	Score      func(connector.PlainResponse) string
 	Catalogue  connector.Catalogue
 	Upstreams  connector.Upstreams
-	Members    connector.Members
+	// Pacer keeps the runs within the limits that engines name; nil means that they name none.
+	Pacer   Pacer
+	Members connector.Members
 	// Settled reports whether Members holds most of the live hosts; nil means that it always does.
 	Settled func() bool
 	// FirstStart means that no earlier process of this host can own jobs, because the whole system starts for the first time.
@@ -120,7 +122,7 @@
 	config.ReviewInterval = cmp.Or(config.ReviewInterval, DefaultReviewInterval)
 	base, cancel := context.WithCancel(context.Background())
 	d := &Driver{
-		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), machine: New(),
+		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), machine: New(Config{Pacer: config.Pacer}),
 		owned: make(map[identifier.BatchID]*ownedJob), stops: make(map[RunID]context.CancelCauseFunc),
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
 		adopting: make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -12,6 +12,7 @@
 // due times and then by the priority of their routes. Within a job the longest texts start first: a long text that starts
 // late delays its group, and more engines would not make it faster.
 func (b *Batcher) schedule(now time.Time) {
+	clear(b.withoutTurn)
 	open := b.openJobs()
 	for _, j := range open {
 		b.startRewards(now, j)
@@ -57,7 +58,7 @@
 		if it.state != itemWaiting || it.complete || now.Before(it.notBefore) || it.run != nil {
 			continue
 		}
-		e := b.chooseEngine(now, j, it)
+		e := b.chooseWithTurn(now, j, it)
 		if e == nil {
 			return
 		}
@@ -65,6 +66,21 @@
 	}
 }
 
+// chooseWithTurn returns the best engine that is not limited or has a turn for the run, and uses up the turn; nil if there is
+// none.
+func (b *Batcher) chooseWithTurn(now time.Time, j *job, it *item) *engine {
+	for {
+		e := b.chooseEngine(now, j, it)
+		if e == nil {
+			return nil
+		}
+		if ok, _ := b.pacer.Take(e.host.ID); ok {
+			return e
+		}
+		b.withoutTurn[e.host.ID] = struct{}{}
+	}
+}
+
 // chooseEngine returns the free engine with the lowest cost: its slowness plus a small cost for its load and one if it mainly
 // serves another model, less a small bonus if it has processed the group's prompt. It returns nil if no free engine may run items of the job.
 func (b *Batcher) chooseEngine(now time.Time, j *job, it *item) *engine {
@@ -73,7 +89,7 @@
 	var bestCost float64
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if e.freeSlots(now) <= 0 || !e.serves(now, j) {
+		if _, without := b.withoutTurn[id]; without || e.freeSlots(now) <= 0 || !e.serves(now, j) {
 			continue
 		}
 		cost := e.slowness(now, typical) + loadCost*float64(e.inFlight)/float64(e.slots())
--- a/service/connector/upstream.go
+++ b/service/connector/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
@@ -32,6 +33,20 @@
 	Report(id identifier.UpstreamID, evidence Evidence)
 	// ReportLoad receives the load that an upstream has stated.
 	ReportLoad(id identifier.UpstreamID, load codec.LoadReport)
+	// ReportLimit receives the limit, in requests a second from all hosts together, that the response to a request sent at
+	// sentAt named; zero means that it named none.
+	ReportLimit(id identifier.UpstreamID, perSecond float64, sentAt time.Time)
+}
+
+// Pacer keeps the requests of all hosts to an upstream within the limit that the upstream names.
+type Pacer interface {
+	// Take uses up a turn for one request to an upstream, if there is one; an upstream that names no limit needs none. Otherwise
+	// it requests a turn and returns the earliest time at which there can be one, or zero if that is not known.
+	Take(id identifier.UpstreamID) (ok bool, earliest time.Time)
+	// Available reports whether Take would succeed now.
+	Available(id identifier.UpstreamID) bool
+	// Limit returns the requests a second that an upstream takes from all hosts together, or zero if it names no limit.
+	Limit(id identifier.UpstreamID) float64
 }
 
 // EngineCall is one attempt on an engine.
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -46,8 +46,10 @@
 	Engines   connector.Engines
 	Plain     connector.PlainServices
 	// Streams serves routes whose responses are streams; it may be nil without such routes.
-	Streams  connector.Streams
-	Permits  connector.Permits
+	Streams connector.Streams
+	Permits connector.Permits
+	// Pacer keeps attempts within the limits that upstreams name; nil means that they name none.
+	Pacer    connector.Pacer
 	Meter    *meter.Meter
 	Log      *logger.Logger
 	Timer    *timer.Service
@@ -91,6 +93,8 @@
 	lastID   uint64
 	running  int
 	requests int64
+	// turnWaiters counts the requests of each pool that wait because its upstreams limit their requests.
+	turnWaiters map[identifier.PoolName]int
 	// queueWake signals Run that a request waits for admission.
 	queueWake     chan struct{}
 	demand        map[identifier.EntryName]int64
@@ -134,6 +138,7 @@
 		attemptCancels:   make(map[identifier.AttemptID]context.CancelCauseFunc),
 		changed:          make(chan struct{}),
 		demand:           make(map[identifier.EntryName]int64),
+		turnWaiters:      make(map[identifier.PoolName]int),
 		queueWake:        make(chan struct{}, 1),
 		refusals:         make(map[refuser.Reason]int64),
 		retries:          make(map[refuser.RetryReason]int64),
@@ -166,6 +171,13 @@
 	d.handleIsolator(isolator.Imported{Proven: proven, Suspects: suspects})
 }
 
+// Recheck lets the requests that wait for an upstream look for one again.
+func (d *Dispatcher) Recheck() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notifyChange()
+}
+
 // Drain refuses new requests and waits until the running ones, their cancellations at engines and their permit
 // completions are done. It returns the error of ctx if that ends before the last running request.
 func (d *Dispatcher) Drain(ctx context.Context) error {
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -57,6 +57,8 @@
 	lastFailure *connector.PlainResponse
 	// freeRetryUsed is set once a retry after a crash was not charged to the retry budget.
 	freeRetryUsed bool
+	// waitsForTurn is set while the request is counted in turnWaiters.
+	waitsForTurn bool
 }
 
 // newJob looks up the entry of a request and counts the request; it refuses unknown entries and, while draining, all
--- a/service/dispatcher/placement.go
+++ b/service/dispatcher/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"celerygap.example/lib/asserter"
@@ -17,6 +18,9 @@
 // are too old.
 const maxPlacementWait = 5 * time.Second
 
+// maxQueueTime bounds the estimate of the time that waiting requests take.
+const maxQueueTime = time.Hour
+
 // placement is the upstream of an attempt and what the attempt holds at the isolator and the router.
 type placement struct {
 	upstream connector.Upstream
@@ -26,6 +30,17 @@
 	isolated bool
 }
 
+// obstacle is why an attempt has not started.
+type obstacle struct {
+	// passes is set if the attempt may start later: an upstream is reserved for a suspect, must become idle first, serves weights
+	// that are too old, or limits its requests.
+	passes bool
+	// limited is set if an upstream would run the attempt, but has no turn for it. earliest is when there can be one, or zero if
+	// that is not known.
+	limited  bool
+	earliest time.Time
+}
+
 // startAttempt waits until the isolator and the router let an attempt start, and counts it as started.
 func (j *job) startAttempt(ctx context.Context, want router.Route) (placement, *refuser.Refusal) {
 	d := j.d
@@ -36,16 +51,17 @@
 		decision := j.requestRun(&p)
 		if decision == nil {
 			changed := d.changed
-			started, wait := j.tryStart(&p, want)
+			started, found := j.tryStart(&p, want)
+			j.countTurnWait(!started && found.limited)
 			d.mu.Unlock()
 			if started {
 				return p, nil
 			}
-			if p.isolated {
-				// A suspect waits for an idle upstream as long as its deadline allows.
+			if p.isolated || found.limited {
+				// A suspect waits for an idle upstream, and any request for its turn, as long as its deadline allows.
 				waitUntil = j.deadline
 			}
-			if refusal := j.awaitChange(ctx, changed, waitUntil, wait); refusal != nil {
+			if refusal := j.awaitChange(ctx, changed, waitUntil, found); refusal != nil {
 				j.abandonPlacement(&p)
 				return placement{}, refusal
 			}
@@ -110,19 +126,14 @@
 	}
 }
 
-// tryStart routes the attempt and counts it; the mutex must be held. If the attempt has not started, wait reports
-// whether it may start later: an upstream is reserved for a suspect, must become idle first, or serves weights that are
-// too old.
-func (j *job) tryStart(p *placement, want router.Route) (started, wait bool) {
+// tryStart routes the attempt and counts it; the mutex must be held.
+func (j *job) tryStart(p *placement, want router.Route) (started bool, found obstacle) {
 	d := j.d
 	now := time.Now()
 	listed := d.refreshPool(j.pool)
-	upstream, ok, outdated := j.chooseUpstream(now, p, want)
-	if !ok {
-		return false, outdated || j.anyReserved()
-	}
-	if p.isolated && d.router.InFlight(upstream.ID) > 0 {
-		return false, true
+	upstream, found := j.chooseWithTurn(now, p, want)
+	if upstream.ID == "" {
+		return false, found
 	}
 	for _, known := range listed {
 		asserter.Check(asserter.LeavingGetsNoWork, known.ID != upstream.ID || !known.Leaving,
@@ -132,7 +143,73 @@
 	j.attempts++
 	d.router.Handle(now, router.AttemptStarted{Upstream: upstream.ID})
 	d.handleIsolator(isolator.AttemptStarted{Attempt: p.attempt, Fingerprint: j.fingerprint, Upstream: upstream.ID})
-	return true, false
+	return true, obstacle{}
+}
+
+// chooseWithTurn routes the attempt to the first upstream in the router's order that is not limited or has a turn for it, and
+// uses up the turn. Without one, the id of the upstream is empty.
+func (j *job) chooseWithTurn(now time.Time, p *placement, want router.Route) (connector.Upstream, obstacle) {
+	d := j.d
+	var found obstacle
+	var perSecond float64
+	for {
+		upstream, ok, outdated := j.chooseUpstream(now, p, want)
+		found.passes = found.passes || outdated
+		if !ok {
+			found.passes = found.passes || found.limited || j.anyReserved()
+			if found.limited && !j.waitsForTurn {
+				found.earliest = latest(found.earliest, now.Add(queueTime(d.turnWaiters[j.pool], perSecond)))
+			}
+			return connector.Upstream{}, found
+		}
+		if p.isolated && d.router.InFlight(upstream.ID) > 0 {
+			return connector.Upstream{}, obstacle{passes: true}
+		}
+		if d.config.Pacer == nil {
+			return upstream, found
+		}
+		started, earliest := d.config.Pacer.Take(upstream.ID)
+		if started {
+			return upstream, found
+		}
+		if !found.limited || earliest.Before(found.earliest) {
+			found.earliest = earliest
+		}
+		found.limited = true
+		perSecond += d.config.Pacer.Limit(upstream.ID)
+		want.Excluded = append(slices.Clip(want.Excluded), upstream.ID)
+	}
+}
+
+// queueTime returns how long the waiting requests of this host take at least if upstreams take that many requests a second.
+func queueTime(waiting int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(min(float64(waiting)/perSecond*float64(time.Second), float64(maxQueueTime)))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// countTurnWait counts the request while it waits for a turn; the mutex must be held.
+func (j *job) countTurnWait(waits bool) {
+	if waits == j.waitsForTurn {
+		return
+	}
+	j.waitsForTurn = waits
+	if waits {
+		j.d.turnWaiters[j.pool]++
+		return
+	}
+	j.d.turnWaiters[j.pool]--
+	if j.d.turnWaiters[j.pool] == 0 {
+		delete(j.d.turnWaiters, j.pool)
+	}
 }
 
 // chooseUpstream routes the attempt. For a suspect it replaces the reservation of an earlier call by one of the chosen
@@ -184,9 +261,13 @@
 	return fmt.Sprintf("%d upstreams listed, %d of them leaving", len(known), leaving)
 }
 
-func (j *job) awaitChange(ctx context.Context, changed <-chan struct{}, until time.Time, wait bool) *refuser.Refusal {
-	if !wait {
+func (j *job) awaitChange(ctx context.Context, changed <-chan struct{}, until time.Time, found obstacle) *refuser.Refusal {
+	switch {
+	case !found.passes:
 		return j.refuse(refuser.NoUpstream, shortRetryAfter, "pool %s has no upstream that accepts requests: %s", j.pool, j.describePool())
+	case found.limited && found.earliest.After(j.deadline):
+		return j.refuse(refuser.UpstreamsLimited, time.Until(found.earliest), "pool %s: the upstreams limit their requests; the next turn comes in %s",
+			j.pool, time.Until(found.earliest).Round(time.Millisecond))
 	}
 	limit := time.NewTimer(time.Until(until))
 	defer limit.Stop()
@@ -206,6 +287,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.decisionWaiters, p.ticket)
+	j.countTurnWait(false)
 	j.withdrawTicket(p)
 }
 
--- a/service/dispatcher/route_test.go
+++ b/service/dispatcher/route_test.go
@@ -39,6 +39,12 @@
 	return len(s.attempts) - 1
 }
 
+func (s *scriptedClient) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts)
+}
+
 func (s *scriptedClient) Do(ctx context.Context, call connector.PlainCall) (connector.PlainResponse, error) {
 	step := s.next(call.Upstream.ID)
 	call.OnSent()
@@ -56,6 +62,16 @@
 }
 
 func newRouteDispatcherOf(t *testing.T, host identifier.HostID, script *scriptedClient, route codec.RouteSpec) *dispatcher.Dispatcher {
+	return dispatcher.New(routeConfig(t, host, script, route))
+}
+
+func newPacedDispatcher(t *testing.T, pacer connector.Pacer, script *scriptedClient, route codec.RouteSpec) *dispatcher.Dispatcher {
+	config := routeConfig(t, "h", script, route)
+	config.Pacer = pacer
+	return dispatcher.New(config)
+}
+
+func routeConfig(t *testing.T, host identifier.HostID, script *scriptedClient, route codec.RouteSpec) dispatcher.Config {
 	t.Cleanup(asserter.SetHandler(func(name asserter.Invariant, detail string) { t.Errorf("invariant %s: %s", name, detail) }))
 	meters, err := meter.New()
 	require.NoError(t, err)
@@ -71,10 +87,10 @@
 			Limits: codec.Limits{Deadline: identifier.Duration(2 * time.Second)},
 		}},
 	}
-	return dispatcher.New(dispatcher.Config{
+	return dispatcher.Config{
 		Host: host, Zone: "z", Region: "r", Catalogue: &fakeCatalogue{catalogue}, Upstreams: upstreams, Plain: script, Streams: script,
 		Meter: meters, Timer: timer.New(timer.Config{}),
-	})
+	}
 }
 
 func failWith(status int) func(context.Context, connector.PlainCall) (connector.PlainResponse, error) {
