isolator, dispatcher, batcher: work that was handed in to run later is never taken for a crashing request

Cause: reward calls and samples passed the isolator like requests of callers. A harmless one that was in flight at crashes of its upstreams became a suspect, ran alone, met a further crash or reset and counted as proven, for 30 s or an hour on every host.

Change: such requests are marked Sound. They need no permission to run, no crash counts against them, and beside another request they do not make the cause of a crash doubtful. Items themselves were never affected: only answers of 500 and 422 count against them.

--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -680,3 +680,21 @@
 	x.advanceClock(50 * time.Millisecond)
 	require.Empty(t, x.stopped)
 }
+
+// Guards against an item that is not placed again after several engines crashed while they ran it.
+func TestItemIsPlacedAgainAfterManyCrashes(t *testing.T) {
+	x := newHarness(t)
+	x.engines(engine("a", 2, 8), engine("b", 2, 8), engine("c", 2, 8))
+	x.openItems(codec.BatchSpec{}, item("1", 0))
+	for range 20 {
+		run := x.lastRun()
+		x.fail(run, connector.FailureConnectionLost)
+		x.advanceClock(2 * time.Second)
+		require.Greater(t, x.lastRun(), run)
+	}
+	x.event(x.lastRun(), 1, 2)
+	x.handle(batcher.RunEnded{Run: x.lastRun()})
+	x.advanceClock(time.Second)
+	require.Len(t, x.appends, 1)
+	require.Equal(t, codec.ResultStateDone, x.appends[0].Results[0].State)
+}
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -344,6 +344,7 @@
 		}
 		request := d.config.MakeReward(c.Call)
 		request.Entry = entry.Name
+		request.Sound = true
 		response, err := d.config.Rewards.Call(d.base, request)
 		event.Failures = response.Failures
 		if err == nil {
--- a/service/connector/request.go
+++ b/service/connector/request.go
@@ -25,6 +25,9 @@
 	MinVersion identifier.WeightVersion
 	// Avoid names upstreams to use only when no other is left.
 	Avoid []identifier.UpstreamID
+	// Sound is set for a request that was handed in to run later, which never crashes upstreams by itself: no crash counts
+	// against it.
+	Sound bool
 }
 
 // Chunk is a part of a completion, in order and without gaps or repeats.
@@ -70,6 +73,9 @@
 	Body           []byte
 	IdempotencyKey string
 	Deadline       time.Time
+	// Sound is set for a request that belongs to work that was handed in to run later, such as a reward call. It never crashes
+	// upstreams by itself, so no crash counts against it.
+	Sound bool
 }
 
 // PlainResponse is the complete response of a plain service.
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -39,9 +39,11 @@
 	idempotent  bool
 	hasKey      bool
 	fingerprint identifier.Fingerprint
-	accepted    time.Time
-	deadline    time.Time
-	outcome     codec.Outcome
+	// sound is set for a request that is never the cause of a crash.
+	sound    bool
+	accepted time.Time
+	deadline time.Time
+	outcome  codec.Outcome
 	// maybeRun counts the attempts that were sent and for which the upstream did not state that nothing ran. It is kept
 	// independently of outcome, so that the invariant in finish can compare the two.
 	maybeRun  int
--- a/service/dispatcher/placement.go
+++ b/service/dispatcher/placement.go
@@ -79,7 +79,10 @@
 // channel that delivers the decision. The mutex must be held.
 func (j *job) requestRun(p *placement) chan isolator.Command {
 	d := j.d
-	if p.isolated {
+	switch {
+	case j.sound:
+		return nil
+	case p.isolated:
 		return j.recheckProven(p)
 	}
 	p.ticket = isolator.Ticket(d.nextID())
@@ -142,7 +145,9 @@
 	p.upstream = upstream
 	j.attempts++
 	d.router.Handle(now, router.AttemptStarted{Upstream: upstream.ID})
-	d.handleIsolator(isolator.AttemptStarted{Attempt: p.attempt, Fingerprint: j.fingerprint, Upstream: upstream.ID})
+	d.handleIsolator(isolator.AttemptStarted{
+		Attempt: p.attempt, Fingerprint: j.fingerprint, Upstream: upstream.ID, Sound: j.sound,
+	})
 	return true, obstacle{}
 }
 
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -50,6 +50,7 @@
 	j.idempotent = isIdempotent(j.entry, request.Method)
 	j.hasKey = request.IdempotencyKey != "" && j.entry.Route == nil
 	j.fingerprint = plainFingerprint(request)
+	j.sound = request.Sound
 	j.setDeadline(request.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
--- a/service/isolator/events.go
+++ b/service/isolator/events.go
@@ -48,6 +48,8 @@
 	Attempt     identifier.AttemptID
 	Fingerprint identifier.Fingerprint
 	Upstream    identifier.UpstreamID
+	// Sound is set for a request that never crashes upstreams by itself. It needs no permission to run.
+	Sound bool
 }
 
 // AttemptEnded reports how an attempt ended.
--- a/service/scheduler/attempts.go
+++ b/service/scheduler/attempts.go
@@ -140,6 +140,7 @@
 		Class:       codec.EntryClassTraining,
 		Priority:    -int(ahead),
 		MinVersion:  max(0, t.version+identifier.WeightVersion(ahead-t.settings.StalenessBound)),
+		Sound:       true,
 	}
 	if t.settings.Deadline > 0 {
 		request.Deadline = now.Add(t.settings.Deadline)
