batcher: an owner does not show fewer results than others have read from the store

Cause, from reading: other hosts read the store when they do not reach the owner, so they show a chunk of results as soon as it is stored. The owner shows it only once it has processed the response to its write, which a frozen or slow host does seconds later; and a host that was paused shows its own list until its review has found that another host took the job over and listed more.

Change: a page with results is always right, since positions never change. For a page without any, the owner looks in the store if its write has taken longer than 300 ms without a known failure, or if it was paused and has not reviewed its jobs since. If the store does not respond, it says so instead of showing nothing.

--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// endReviewDue records that the jobs have been compared with a current list, unless another pause requires a further review.
+func (d *Driver) endReviewDue() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reviewDue = d.currentListNeeded.Load()
+}
+
 func (d *Driver) settled() bool { return d.config.Settled == nil || d.config.Settled() }
 
 // reviewLoop first resumes the jobs of an earlier process of this host and then reviews all jobs on request: it has those
@@ -63,11 +70,14 @@
 		case <-d.reviews:
 			currentListNeeded := d.currentListNeeded.Swap(false)
 			orphans, err := d.review(ctx, !currentListNeeded)
-			if err != nil {
+			switch {
+			case err != nil:
 				d.config.Log.Warn(logger.JobsNotReviewed).Err(err).Send()
 				if currentListNeeded {
 					d.currentListNeeded.Store(true)
 				}
+			case currentListNeeded:
+				d.endReviewDue()
 			}
 			if err != nil || orphans {
 				d.sleep(maxStoreBackoff)
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,8 +98,12 @@
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
 	draining bool
-	base     context.Context
-	cancel   context.CancelFunc
+	// lastTick is the time of the last tick, which shows whether this process was paused. reviewDue is set from a pause until
+	// the jobs have been compared with a current list.
+	lastTick  time.Time
+	reviewDue bool
+	base      context.Context
+	cancel    context.CancelFunc
 }
 
 // ownedJob is the driver's state of a job that this host owns.
@@ -108,6 +113,9 @@
 	chunks int
 	// textChunks is the number of chunks of saved texts in the store.
 	textChunks int
+	// appendingSince is when the write of results in progress began; it is zero without one, and after a write that certainly had
+	// no effect.
+	appendingSince time.Time
 	// changed is closed and replaced whenever the list of results changes or the job ends.
 	changed chan struct{}
 	// appending is locked during a write of results, so that there is at most one at a time.
@@ -166,18 +174,15 @@
 	defer stopReviews()
 	catalogues := d.config.Catalogue.Subscribe()
 	d.work.Go(func() { d.reviewLoop(ctx) })
-	lastTick := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticks:
-			if pauseBetween(lastTick, now) > freezeThreshold {
+			if d.tick(now) {
 				d.currentListNeeded.Store(true)
 				d.requestReview()
 			}
-			lastTick = now
-			d.tick()
 		case <-catalogues:
 			d.applyRoutes()
 		case <-reviews:
@@ -194,13 +199,18 @@
 	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
 }
 
-// tick sends a Tick only while this host owns jobs, so that an idle host does not run the state machine 20 times a second.
-func (d *Driver) tick() {
+// tick sends a Tick only while this host owns jobs, so that an idle host does not run the state machine 20 times a second. It
+// reports whether this process was paused since the last tick.
+func (d *Driver) tick(now time.Time) (paused bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	paused = !d.lastTick.IsZero() && pauseBetween(d.lastTick, now) > freezeThreshold
+	d.lastTick = now
+	d.reviewDue = d.reviewDue || paused
 	if len(d.owned) > 0 {
 		d.execute(d.machine.Handle(time.Now(), Tick{}))
 	}
+	return paused
 }
 
 func (d *Driver) applyRoutes() {
@@ -366,14 +376,21 @@
 	defer h.appending.Unlock()
 	chunk := codec.BatchChunk{Writer: batchkeeper.NewWriter(d.config.Self.ID), Results: c.Results}
 	wait := minStoreBackoff
+	// unknown is set once a write may have taken effect without a response.
+	unknown := false
 	for d.base.Err() == nil && d.stillOwns(h) {
 		d.mu.Lock()
 		number := h.chunks
+		if h.appendingSince.IsZero() {
+			h.appendingSince = time.Now()
+		}
 		d.mu.Unlock()
 		err := d.config.Keeper.Append(d.base, c.Job, number, chunk)
+		unknown = unknown || err != nil && !errors.Is(err, connector.ErrUnavailable)
 		if err == nil {
 			d.mu.Lock()
 			h.chunks++
+			h.appendingSince = time.Time{}
 			d.execute(d.machine.Handle(time.Now(), Appended{Job: c.Job}))
 			d.mu.Unlock()
 			d.config.Log.Info(logger.ResultsListed).Str("job", string(c.Job)).Int("chunk", number).Int("results", len(c.Results)).Send()
@@ -383,6 +400,11 @@
 			d.resolveAppendConflict(h, taken)
 			return
 		}
+		if !unknown {
+			d.mu.Lock()
+			h.appendingSince = time.Time{}
+			d.mu.Unlock()
+		}
 		d.config.Log.Warn(logger.ResultsNotListed).Str("job", string(c.Job)).Int("chunk", number).Err(err).Send()
 		d.sleep(wait)
 		wait = min(2*wait, maxStoreBackoff)
@@ -451,6 +473,7 @@
 		d.mu.Lock()
 		h.head = head
 		h.chunks = chunks
+		h.appendingSince = time.Time{}
 		d.execute(d.machine.Handle(time.Now(), AppendConflict{Job: id, Results: results}))
 		d.mu.Unlock()
 		return
--- a/service/batcher/driver_test.go
+++ b/service/batcher/driver_test.go
@@ -123,6 +123,8 @@
 	*batcher.Driver
 	id   identifier.HostID
 	stop func()
+	// stopTicks makes the host behave like one that has just woken up from a pause, as soon as the pause is long enough.
+	stopTicks func()
 }
 
 // cluster is several hosts with one store and one runner.
@@ -132,6 +134,7 @@
 	store   *storekeeper.Store
 	// counter, if set, replaces the store for the hosts that are added.
 	counter         *readCounter
+	held            *heldStore
 	run             *runner
 	lastIncarnation int64
 }
@@ -156,6 +159,9 @@
 	if c.counter != nil {
 		store = c.counter
 	}
+	if c.held != nil {
+		store = c.held
+	}
 	d := batcher.NewDriver(batcher.DriverConfig{
 		Self: p.Self(), Incarnation: identifier.Incarnation(c.lastIncarnation), Keeper: batchkeeper.New(store), Runner: c.run,
 		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
@@ -164,13 +170,14 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	group := grouper.NewGroup(-1)
-	group.Go(func() { _ = service.Run(ctx) })
+	tickCtx, stopTicks := context.WithCancel(ctx)
+	group.Go(func() { _ = service.Run(tickCtx) })
 	group.Go(func() { _ = d.Run(ctx) })
 	c.network.mu.Lock()
 	delete(c.network.down, id)
 	c.network.mu.Unlock()
 	d.EnginesChanged(map[identifier.PoolName][]codec.ListedHost{pool: {engine("e", 2, 64)}})
-	h := &host{Driver: d, id: id, stop: func() {
+	h := &host{Driver: d, id: id, stopTicks: stopTicks, stop: func() {
 		c.network.mu.Lock()
 		c.network.down[id] = true
 		c.network.mu.Unlock()
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -27,19 +27,27 @@
 // gone but still listed as live, this host then reads the store itself and still responds to the trainer within a second.
 const homeTimeout = 500 * time.Millisecond
 
+const (
+	// appendDoubt is how long a write of results may take before this host's list may lag behind what others have read from the
+	// store.
+	appendDoubt = 300 * time.Millisecond
+	// lookupTimeout bounds the reads of the store for results that this host's list may lack.
+	lookupTimeout = 500 * time.Millisecond
+)
+
 // Read returns results of a job: from this host if it owns the job, else from the owner, else from the store, either
 // through the job's home or directly. Only the owner waits for further results.
 func (d *Driver) Read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, error) {
-	if page, ok := d.readOwned(ctx, id, after, wait); ok {
-		return page, nil
+	if page, ok, err := d.readOwned(ctx, id, after, wait); ok || err != nil {
+		return page, err
 	}
 	head, owned, err := d.ownerOf(ctx, id)
 	if err != nil {
 		return codec.BatchPage{}, err
 	}
 	if owned {
-		page, _ := d.readOwned(ctx, id, after, wait)
-		return page, nil
+		page, _, err := d.readOwned(ctx, id, after, wait)
+		return page, err
 	}
 	if page, ok := d.readFromOwner(ctx, head, after, wait); ok {
 		return page, nil
@@ -82,9 +90,57 @@
 	return pageOf(results, head.Total, after, pageBytes), nil
 }
 
-// readOwned waits until there is a result at the position, the job ends or the wait expires. It returns false if this host
+// readOwned returns the page that awaitOwned finds. If the page has no results, although the store may hold some that others have
+// read, it looks there. owned is false if this host does not own the job.
+func (d *Driver) readOwned(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (page codec.BatchPage, owned bool, err error) {
+	page, owned = d.awaitOwned(ctx, id, after, wait)
+	if !owned || len(page.Results) > 0 || after >= page.Total || !d.mayLag(id) {
+		return page, owned, nil
+	}
+	page, err = d.lookBeyond(ctx, id, page)
+	return page, true, err
+}
+
+// mayLag reports whether the store may hold results of a job that this host's list lacks: the response to a write is late, or
+// this process was paused and has not reviewed its jobs since, so that another host may have taken them over.
+func (d *Driver) mayLag(id identifier.BatchID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.owned[id]
+	late := ok && !h.appendingSince.IsZero() && time.Since(h.appendingSince) > appendDoubt
+	paused := !d.lastTick.IsZero() && pauseBetween(d.lastTick, time.Now()) > freezeThreshold
+	return late || paused || d.reviewDue
+}
+
+// lookBeyond adds to a page without results those that the store holds after this host's list.
+func (d *Driver) lookBeyond(ctx context.Context, id identifier.BatchID, page codec.BatchPage) (codec.BatchPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	d.mu.Lock()
+	h, ok := d.owned[id]
+	if !ok {
+		d.mu.Unlock()
+		return page, nil
+	}
+	number := h.chunks
+	results := d.machine.Results(id)
+	d.mu.Unlock()
+	for {
+		chunk, err := d.config.Keeper.Chunk(ctx, id, number)
+		if errors.Is(err, connector.ErrNotFound) {
+			return pageOf(results, page.Total, page.Next, pageBytes), nil
+		}
+		if err != nil {
+			return codec.BatchPage{}, err
+		}
+		results = append(results[:len(results):len(results)], chunk.Results...)
+		number++
+	}
+}
+
+// awaitOwned waits until there is a result at the position, the job ends or the wait expires. It returns false if this host
 // does not own the job.
-func (d *Driver) readOwned(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, bool) {
+func (d *Driver) awaitOwned(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, bool) {
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	for {
@@ -162,7 +218,10 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode batch read", "peer", err)
 	}
-	page, ok := d.readOwned(ctx, request.Job, request.After, request.Wait.Std())
+	page, ok, err := d.readOwned(ctx, request.Job, request.After, request.Wait.Std())
+	if err != nil {
+		return nil, err
+	}
 	if !ok && !request.Stored {
 		return codec.ReadReply{}, nil
 	}
--- a/service/batcher/results.go
+++ b/service/batcher/results.go
@@ -93,6 +93,14 @@
 	return pageOf(j.results, len(j.items), after, limit), j.ended, true
 }
 
+// Results returns the results of a job in the order of the list; the caller must not change them.
+func (b *Batcher) Results(id identifier.BatchID) []codec.BatchResult {
+	if j, ok := b.jobs[id]; ok {
+		return j.results
+	}
+	return nil
+}
+
 // pageOf returns the results from position after on, up to about limit bytes in total, but at least one if there is any.
 func pageOf(results []codec.BatchResult, total, after int, limit identifier.Bytes) codec.BatchPage {
 	page := codec.BatchPage{Total: total, Results: []codec.BatchResult{}, Next: after}
