dispatcher: a response whose last chunk was rejected is not complete

Cause: a resumed engine sent whole responses in one chunk, from weights older than the requests allow. The chunk was rejected, but the validator had already seen its finish reason, so the attempt counted as complete, with nothing held.

Change: an attempt whose chunk was rejected ends with that error.

--- a/service/dispatcher/generate.go
+++ b/service/dispatcher/generate.go
@@ -84,15 +84,21 @@
 // runAttempt runs one attempt, which resumes after the tokens already held.
 func (g *generation) runAttempt(ctx context.Context, p placement, a *lockedAttempt) error {
 	validator := newChunkValidator(p.attempt, g.response.tokens, g.request.MaxTokens)
+	var rejected error
 	err := g.job.config().Engines.Complete(ctx, connector.EngineCall{
 		Upstream: p.upstream,
 		Request:  g.engineRequest(p),
 		OnSent:   a.onSent,
 		OnChunk: func(chunk codec.EngineChunk) error {
 			a.handle(ResponseStarted{})
-			return g.accept(p, validator, chunk)
+			rejected = g.accept(p, validator, chunk)
+			return rejected
 		},
 	})
+	if rejected != nil {
+		// The rejected chunk may be the one with the finish reason.
+		return err
+	}
 	incomplete := validator.verifyComplete()
 	if incomplete == nil {
 		// An error after the chunk with the finish reason, such as a lost connection, loses nothing.
--- a/service/dispatcher/generate_test.go
+++ b/service/dispatcher/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -121,3 +122,25 @@
 		})
 	}
 }
+
+// Guards against an empty response that counts as complete: its only chunk, which also ends it, came from weights older than the
+// request allows.
+func TestResponseInOneChunkOfOlderWeightsIsNotComplete(t *testing.T) {
+	outdated, current := newEngine(t), newEngine(t)
+	outdated.script = func(w http.ResponseWriter, r codec.EngineRequest) {
+		writeChunks(w, codec.EngineChunk{
+			AttemptID: r.AttemptID, Tokens: totalTokens, Text: completeText, WeightVersion: 1, FinishReason: codec.FinishReasonStop, TotalTokens: totalTokens,
+		})
+		writeDone(w)
+	}
+	current.version = 2
+	d := newFixture(t, addressOf(outdated.server), addressOf(current.server))
+	for number := range 20 {
+		wanted := request(fmt.Sprint("prompt ", number))
+		wanted.MinVersion = 2
+		result, err := d.Generate(t.Context(), wanted, nil)
+		require.NoError(t, err)
+		require.Equal(t, completeText, result.Text)
+	}
+	require.Positive(t, outdated.count())
+}
