pacer: the end of a limit heard from another host counts, and requests without turns pause

Found by reading, no run shows it: the driver added the time of the whole call to the age of a limit in a reply. If two hosts heard of a limit and of its end within that time, the one that hands out turns gave none, and the other kept waiting for them, one call after the other. Ages now count from the receipt in both directions, and a request that got no turns is repeated after 20 ms at the earliest.

--- a/service/pacer/driver.go
+++ b/service/pacer/driver.go
@@ -153,7 +153,6 @@
 
 // request requests turns from the first host that replies, and calls OnTurn when they may be used or requested again.
 func (d *Driver) request(request codec.TurnRequest) {
-	sentAt := time.Now()
 	reply, err := d.call(request)
 	switch {
 	case request.Count == 0 || d.base.Err() != nil:
@@ -163,12 +162,10 @@
 		d.config.OnTurn()
 		return
 	}
-	// At most the time of the whole call has passed since the other host stated the age.
-	reply.Limit.Age += identifier.Duration(time.Since(sentAt))
 	d.handle(TurnsReceived{Upstream: request.Upstream, Reply: reply})
 	waits := reply.Turns
 	if len(waits) == 0 {
-		waits = []identifier.Duration{reply.RetryAfter}
+		waits = []identifier.Duration{max(reply.RetryAfter, identifier.Duration(minRetryDelay))}
 	}
 	received := time.Now()
 	for _, wait := range waits {
--- a/service/pacer/limit.go
+++ b/service/pacer/limit.go
@@ -26,7 +26,8 @@
 
 func (l *limit) limited() bool { return l.perSecond > 0 }
 
-// message returns the limit for another host. The age replaces the time, because clocks of hosts differ.
+// message returns the limit for another host. The age replaces the time, because clocks of hosts differ. The receiver counts it
+// from the receipt, so what one host has heard after another is newer there, too.
 func (l *limit) message(now time.Time) codec.HeardLimit {
 	return codec.HeardLimit{PerSecond: l.perSecond, Age: identifier.Duration(now.Sub(l.heardAt))}
 }
--- a/service/pacer/pacer.go
+++ b/service/pacer/pacer.go
@@ -15,6 +15,8 @@
 	// requestTime is the time whose turns are requested at once at most, so that a host that has many requests waiting does not
 	// take turns that it uses late.
 	requestTime = 250 * time.Millisecond
+	// minRetryDelay is the least time between a request for turns that got none and the next one.
+	minRetryDelay = 20 * time.Millisecond
 )
 
 // Event is an input of the state machine.
@@ -180,7 +182,9 @@
 		u.turns = append(u.turns, now.Add(wait.Std()))
 	}
 	slices.SortFunc(u.turns, time.Time.Compare)
-	u.requestAt = now.Add(e.Reply.RetryAfter.Std())
+	if len(e.Reply.Turns) == 0 {
+		u.requestAt = now.Add(max(e.Reply.RetryAfter.Std(), minRetryDelay))
+	}
 	return commands
 }
 
--- a/service/pacer/pacer_test.go
+++ b/service/pacer/pacer_test.go
@@ -54,6 +54,26 @@
 	require.Zero(t, request.Limit.PerSecond)
 }
 
+// Guards against a host that never sends to an upstream again: the host that hands out turns knows that the limit has ended, so it
+// hands out none, and this one does not believe it, because both heard of the limit within the time of a call.
+func TestEndOfALimitHeardFromAnotherHostCounts(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+		p, s := pacer.New(), pacer.NewScheduler()
+		p.Handle(start, response(5, start))
+		at := start.Add(time.Millisecond)
+		request, ok := requested(p.Handle(at, pacer.TurnWanted{Upstream: upstream}))
+		require.True(t, ok)
+		at = at.Add(delay)
+		ended := codec.TurnRequest{Upstream: upstream, Limit: codec.HeardLimit{}}
+		s.Grant(at, ended, true)
+		reply := s.Grant(at, request, true)
+		require.Empty(t, reply.Turns)
+		at = at.Add(delay)
+		p.Handle(at, pacer.TurnsReceived{Upstream: upstream, Reply: reply})
+		require.True(t, p.Available(at, upstream), "delay %s", delay)
+	}
+}
+
 // Guards against turns that are saved up and used in a burst, and against turns that are used before their time.
 func TestTurnsAreUsedInTime(t *testing.T) {
 	p := pacer.New()
