--- a/service/batcher/pacer_test.go
+++ b/service/batcher/pacer_test.go
@@ -70,8 +70,7 @@
 	require.Len(t, x.runs, 3)
 }
 
-// Guards against items that wait for the turn of a limited engine while others are free, and against texts that leave their
-// engine for one that has no turn for them.
+// Guards against items that wait for the turn of a limited engine while others are free.
 func TestUnlimitedEnginesTakeTheRunsOfLimitedOnes(t *testing.T) {
 	pacer := newFakePacer("a")
 	x := newPacedHarness(t, pacer)
@@ -81,14 +80,28 @@
 	for _, run := range x.runs {
 		require.EqualValues(t, "b", run.Engine.ID)
 	}
-	x.handle(batcher.EnginesChanged{Engines: map[identifier.PoolName][]codec.ListedHost{pool: {engine("a", 2, 8), engine("b", 2, 8)}}})
-	number := identifier.EventNumber(0)
-	for range 60 {
-		x.advanceClock(200 * time.Millisecond)
-		number++
-		for run := range x.runs {
-			x.event(run, number, 2)
-		}
+}
+
+// Guards against a text that leaves its slow engine for a faster one that has no turn for it.
+func TestTextsMoveToALimitedEngineOnlyWithATurn(t *testing.T) {
+	pacer := newFakePacer()
+	x := newPacedHarness(t, pacer)
+	x.engines(engine("a", 2, 1), engine("b", 2, 1))
+	x.openItems(codec.BatchSpec{}, item("long", 100), item("short", 50))
+	fast := x.runs[2].Engine.ID
+	for n := identifier.EventNumber(1); n <= 60; n++ {
+		x.advanceClock(35 * time.Millisecond)
+		x.event(1, n, 2)
+		x.event(2, n, 2)
+	}
+	pacer.turns[fast] = 0
+	x.handle(batcher.RunEnded{Run: 2})
+	for n := identifier.EventNumber(61); n <= 70; n++ {
+		x.advanceClock(120 * time.Millisecond)
+		x.event(1, n, 2)
 	}
 	require.Empty(t, x.stopped)
+	pacer.turns[fast] = 1
+	x.advanceClock(50 * time.Millisecond)
+	require.Equal(t, batcher.StopSlowEngine, x.stopped[1])
 }
