pacer: hosts that get no turns ask again spread over a second

Found by reading: all waiting hosts were told the time of the same next turn, so that all but one asked in vain once for each turn. At a limit of 50 a second and hundreds of hosts one host would get thousands of requests a second.

Change: each refused request is told the time after that of the refused one before, within a second.

--- a/service/pacer/pacer_test.go
+++ b/service/pacer/pacer_test.go
@@ -123,6 +123,8 @@
 	// due holds the replies under way.
 	due  []delivery
 	sent []time.Time
+	// requests counts the requests for turns.
+	requests int
 }
 
 type delivery struct {
@@ -176,6 +178,7 @@
 }
 
 func (f *fleet) request(random *rand.Rand, host int, request codec.TurnRequest) {
+	f.requests++
 	scheduler := f.first
 	if f.lost[host] {
 		scheduler = f.substitute
@@ -219,6 +222,18 @@
 	}
 }
 
+// Guards against a host that is flooded with requests for turns while many hosts wait for them.
+func TestWaitingHostsAskSeldom(t *testing.T) {
+	for _, perSecond := range []float64{1, 4, 50} {
+		f := newFleet(200, perSecond)
+		f.run(rand.New(rand.NewPCG(1, 3)), 5*time.Second)
+		asked := f.requests
+		f.run(rand.New(rand.NewPCG(1, 4)), 10*time.Second)
+		require.LessOrEqual(t, f.requests-asked, 3*10*len(f.hosts), "limit %v", perSecond)
+		require.GreaterOrEqual(t, float64(len(f.sent)), 0.75*perSecond*15, "limit %v", perSecond)
+	}
+}
+
 // Guards against a host whose requests get no turns because others ask more often.
 func TestEveryHostGetsTurns(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
--- a/service/pacer/scheduler.go
+++ b/service/pacer/scheduler.go
@@ -15,6 +15,8 @@
 	burstTime = 500 * time.Millisecond
 	// maxAhead is how far ahead turns are handed out.
 	maxAhead = time.Second
+	// retrySpread is the time over which the hosts that get no turns ask again.
+	retrySpread = time.Second
 	// maxTurns bounds the turns of one reply.
 	maxTurns = 64
 	// substituteDivisor divides the rate of a host that is not the first choice for an upstream.
@@ -31,9 +33,10 @@
 
 type schedule struct {
 	limit limit
-	// next is the time of the next turn.
-	next   time.Time
-	usedAt time.Time
+	// next is the time of the next turn. retry is the time of the turn for which the next host without one may ask again, so that
+	// not all of them come back for the same turn.
+	next, retry time.Time
+	usedAt      time.Time
 }
 
 // NewScheduler returns a Scheduler that knows no limits.
@@ -72,7 +75,11 @@
 		known.next = known.next.Add(interval)
 	}
 	if len(reply.Turns) == 0 {
-		reply.RetryAfter = identifier.Duration(known.next.Sub(now) - maxAhead)
+		if known.retry.Before(known.next) || known.retry.Sub(known.next) > retrySpread {
+			known.retry = known.next
+		}
+		reply.RetryAfter = identifier.Duration(known.retry.Sub(now) - maxAhead)
+		known.retry = known.retry.Add(interval)
 	}
 	return reply
 }
