--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -49,7 +49,7 @@
 	commands    []Command
 }
 
-// Pacer tells whether the limits that engines name allow a run.
+// Pacer hands out turns for runs on engines that name a limit.
 type Pacer interface {
 	// Take uses up a turn for one run on an engine, if there is one, and requests one otherwise.
 	Take(id identifier.UpstreamID) (ok bool, earliest time.Time)
--- a/service/pacer/driver.go
+++ b/service/pacer/driver.go
@@ -125,7 +125,7 @@
 	return d.machine.Limit(id)
 }
 
-// ReportLimit tells what the response to a request that was sent at the given time showed; zero means that it named no limit.
+// ReportLimit records the limit in the response to a request that was sent at the given time; zero means that it named none.
 func (d *Driver) ReportLimit(id identifier.UpstreamID, perSecond float64, sentAt time.Time) {
 	if perSecond <= 0 && d.limited.Load() == 0 {
 		return
--- a/service/pacer/pacer.go
+++ b/service/pacer/pacer.go
@@ -22,7 +22,7 @@
 // Event is an input of the state machine.
 type Event interface{ isEvent() }
 
-// ResponseReceived tells what a response of an upstream showed about its limit.
+// ResponseReceived delivers the limit in a response of an upstream.
 type ResponseReceived struct {
 	Upstream identifier.UpstreamID
 	// PerSecond is zero if the response named no limit.
@@ -42,7 +42,7 @@
 	Reply    codec.TurnReply
 }
 
-// RequestFailed tells that the host that hands out the turns did not reply.
+// RequestFailed means that the host that hands out the turns did not reply.
 type RequestFailed struct{ Upstream identifier.UpstreamID }
 
 // Tick lets the memory of limits expire.
@@ -60,7 +60,7 @@
 // Proceed lets a request be sent.
 type Proceed struct{}
 
-// Wait tells that there is no turn. Earliest is when there can be one, or zero if that is not known.
+// Wait means that there is no turn. Earliest is when there can be one, or zero if that is not known.
 type Wait struct{ Earliest time.Time }
 
 // RequestTurns requests turns for an upstream, or reports its limit, to the host that hands them out.
