lister, dispatcher, batcher: decode and log the software version of upstreams

The logs named the upstream of each attempt and run, but not the version of its software, so they could not tell whether a stream was joined within one answer, over a caller's attempts, or in the text of a batch item. No decision uses it yet.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -754,12 +754,13 @@
 
 // ListedHost defines model for ListedHost.
 type ListedHost struct {
-	Address string       `json:"address"`
-	ID      UpstreamID   `json:"id"`
-	Models  []ModelState `json:"models,omitempty"`
-	Pool    PoolName     `json:"pool"`
-	Region  Region       `json:"region"`
-	Slots   int          `json:"slots,omitempty"`
+	Address  string          `json:"address"`
+	ID       UpstreamID      `json:"id"`
+	Models   []ModelState    `json:"models,omitempty"`
+	Pool     PoolName        `json:"pool"`
+	Region   Region          `json:"region"`
+	Slots    int             `json:"slots,omitempty"`
+	Software SoftwareVersion `json:"software,omitempty"`
 
 	// StartedAt Start of the process; an upstream may restart under the same id.
 	StartedAt time.Time `json:"started_at,omitempty"`
@@ -1160,6 +1161,9 @@
 	ShowAt   time.Time    `json:"show_at"`
 }
 
+// SoftwareVersion defines model for SoftwareVersion.
+type SoftwareVersion = identifier.SoftwareVersion
+
 // StandIn Requests that the receiver hold the lease for orders; yielded is the fencing token that the sender no longer uses.
 type StandIn struct {
 	From    HostID  `json:"from"`
--- a/lib/identifier/identifier.go
+++ b/lib/identifier/identifier.go
@@ -24,6 +24,8 @@
 	AttemptID string
 	// EditID identifies one catalogue edit, so that a repeated submission is recognised.
 	EditID string
+	// SoftwareVersion names the version of an upstream's software. Texts of engines of two versions do not fit together.
+	SoftwareVersion string
 	// Fingerprint is a digest of the body of a request; it does not depend on ids that the caller chose.
 	Fingerprint string
 	// Revision numbers accepted catalogues; it grows by one with each accepted edit.
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -278,7 +278,7 @@
 	started := time.Now()
 	upstream := connector.Upstream{
 		ID: c.Engine.ID, Address: c.Engine.Address, Zone: c.Engine.Zone, Region: c.Engine.Region,
-		Leaving: c.Engine.State == codec.HostStateLeaving,
+		Software: c.Engine.Software, Leaving: c.Engine.State == codec.HostStateLeaving,
 	}
 	events := 0
 	var longest time.Duration
@@ -320,7 +320,7 @@
 		line = d.config.Log.Warn(logger.ItemRunEnded).Str("failure", string(connector.FailureOf(err))).Err(err)
 	}
 	line.Str("request", string(c.Item.ID)).Str("job", string(c.Job)).Str("upstream", string(c.Engine.ID)).
-		Uint64("run", uint64(c.Run)).Int64("after", int64(c.After)).Int("events", stats.events).
+		Str("software", string(c.Engine.Software)).Uint64("run", uint64(c.Run)).Int64("after", int64(c.After)).Int("events", stats.events).
 		Dur("took", stats.duration).Dur("longest_gap", stats.longestInterval).Send()
 }
 
--- a/service/connector/fleet.go
+++ b/service/connector/fleet.go
@@ -41,7 +41,9 @@
 	Address string
 	Zone    identifier.Zone
 	Region  identifier.Region
-	Leaving bool
+	// Software is the version of the upstream's software; upstreams that state none count as having the same one.
+	Software identifier.SoftwareVersion
+	Leaving  bool
 }
 
 // Upstreams gives access to the upstreams of a pool, from the platform's list corrected by local evidence.
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -30,7 +30,7 @@
 	// requestID is the id that the caller gave the request.
 	requestID string
 	// respondedBy is the upstream whose response is returned to the caller.
-	respondedBy identifier.UpstreamID
+	respondedBy connector.Upstream
 	entry       codec.Entry
 	model       *codec.ModelSpec
 	pool        identifier.PoolName
@@ -203,7 +203,7 @@
 	if refusal == nil {
 		d.config.Meter.Completed(string(j.entry.Name), time.Since(j.accepted).Seconds())
 		d.config.Log.Info(logger.RequestCompleted).Str("request", j.requestID).Str("entry", string(j.entry.Name)).
-			Str("upstream", string(j.respondedBy)).Int("attempts", j.attempts).Int("upstream_failures", j.failures).
+			Str("upstream", string(j.respondedBy.ID)).Str("software", string(j.respondedBy.Software)).Int("attempts", j.attempts).Int("upstream_failures", j.failures).
 			Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).Send()
 		return
 	}
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -71,7 +71,7 @@
 		err := j.runStoppable(ctx, p, a, run)
 		if err == nil {
 			a.handle(Completed{})
-			j.respondedBy = p.upstream.ID
+			j.respondedBy = p.upstream
 			j.d.config.Upstreams.Report(p.upstream.ID, connector.EvidenceResponded)
 			j.endAttempt(&p, isolator.EndResponded)
 			return nil
@@ -107,6 +107,7 @@
 	j.recordOutcome(a, rule, err)
 	end := j.classifyEnd(ctx, p, rule)
 	j.config().Log.Warn(logger.AttemptFailed).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
+		Str("software", string(p.upstream.Software)).
 		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Str("end", string(end)).Str("fingerprint", string(j.fingerprint)).
 		Bool("alone", p.isolated).Err(err).Send()
 	j.reportToRouter(p, rule, end)
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -8,6 +8,7 @@
 
 	"celerygap.example/lib/asserter"
 	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/logger"
 	"celerygap.example/lib/refuser"
 	"celerygap.example/service/connector"
 )
@@ -77,6 +78,10 @@
 // upstream.
 func (s *stream) runAttempt(ctx context.Context, p placement, a *lockedAttempt) error {
 	j := s.job
+	if s.last > 0 {
+		j.config().Log.Info(logger.StreamResumed).Str("request", j.requestID).Int64("after", int64(s.last)).Str("upstream", string(p.upstream.ID)).
+			Str("software", string(p.upstream.Software)).Send()
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stallTimer := time.AfterFunc(streamStallTimeout, func() {
--- a/service/lister/lister.go
+++ b/service/lister/lister.go
@@ -424,10 +424,11 @@
 
 func (h *host) upstream(now time.Time) connector.Upstream {
 	return connector.Upstream{
-		ID:      h.listed.ID,
-		Address: h.listed.Address,
-		Zone:    h.listed.Zone,
-		Region:  h.listed.Region,
-		Leaving: h.leaving(now),
+		ID:       h.listed.ID,
+		Address:  h.listed.Address,
+		Zone:     h.listed.Zone,
+		Region:   h.listed.Region,
+		Software: h.listed.Software,
+		Leaving:  h.leaving(now),
 	}
 }
