dispatcher, router: a response goes on only at the software version that began it

Cause: after its upstream broke off, a stream was resumed on the upstream that the router prefers, and a completion likewise. The class: a continuation treats the members of a pool as interchangeable, which holds for new requests only. Change: the first part that the caller gets binds the request to the software version of its upstream, and the router excludes all others. If none of that version is left, the request ends at once. The subset of a large pool holds some upstreams of each version.

--- a/service/dispatcher/generate.go
+++ b/service/dispatcher/generate.go
@@ -154,6 +154,7 @@
 			Err:     fmt.Errorf("chunk has weight version %d, the request requires at least %d", chunkVersion(chunk), g.request.MinVersion),
 		}
 	}
+	g.job.bindSoftware(p)
 	part := g.response.add(chunk)
 	part.Upstream = p.upstream.ID
 	g.response.recordDelivered(chunk)
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -57,6 +57,9 @@
 	// whatever its status.
 	failures    int
 	lastFailure *connector.PlainResponse
+	// software is the version that brought the part of the response that the caller has; nil while it has none. Upstreams of
+	// another version cannot continue it.
+	software *identifier.SoftwareVersion
 	// freeRetryUsed is set once a retry after a crash was not charged to the retry budget.
 	freeRetryUsed bool
 	// waitsForTurn is set while the request is counted in turnWaiters.
--- a/service/dispatcher/placement.go
+++ b/service/dispatcher/placement.go
@@ -228,6 +228,7 @@
 	want.Idle = p.isolated
 	want.IsolationKey = string(j.fingerprint)
 	want.Avoided = j.avoid
+	want.Software = j.software
 	for _, command := range d.router.Handle(now, want) {
 		switch c := command.(type) {
 		case router.Chosen:
@@ -263,7 +264,11 @@
 			leaving++
 		}
 	}
-	return fmt.Sprintf("%d upstreams listed, %d of them leaving", len(known), leaving)
+	description := fmt.Sprintf("%d upstreams listed, %d of them leaving", len(known), leaving)
+	if j.software != nil {
+		description += fmt.Sprintf("; the response began at software version %q", *j.software)
+	}
+	return description
 }
 
 func (j *job) awaitChange(ctx context.Context, changed <-chan struct{}, until time.Time, found obstacle) *refuser.Refusal {
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -122,6 +122,13 @@
 	return j.retry(ctx, conclusion, end, err)
 }
 
+// bindSoftware makes the upstream of a placement the only software version that may continue the response.
+func (j *job) bindSoftware(p placement) {
+	if j.software == nil {
+		j.software = &p.upstream.Software
+	}
+}
+
 func (j *job) config() *Config { return &j.d.config }
 
 // reportToRouter makes the router avoid the upstream for a short time, until load reports and the lister reflect the
--- /dev/null
+++ b/service/dispatcher/software_test.go
@@ -0,0 +1,109 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/refuser"
+	"celerygap.example/service/connector"
+	"celerygap.example/service/dispatcher"
+)
+
+var resumableRoute = codec.RouteSpec{Streaming: true, Resumable: true, Idempotent: true, MaxAttempts: 4}
+
+// mixedConfig returns the configuration of a dispatcher whose upstreams have the given software versions.
+func mixedConfig(t *testing.T, script *scriptedClient, versions ...identifier.SoftwareVersion) dispatcher.Config {
+	config := routeConfig(t, "h", script, resumableRoute)
+	upstreams := &fakeUpstreams{}
+	for i, version := range versions {
+		upstreams.list = append(upstreams.list, connector.Upstream{
+			ID: identifier.UpstreamID(fmt.Sprint("u", i)), Zone: "z", Region: "r", Software: version,
+		})
+	}
+	config.Upstreams = upstreams
+	return config
+}
+
+// Guards against an answer that joins events of two software versions, and against one that waits for a version that is gone.
+func TestStreamResumesOnlyAtItsSoftwareVersion(t *testing.T) {
+	broken := func(last identifier.EventNumber) func(context.Context, connector.StreamCall) error {
+		return events(last, connector.FailureConnectionLost)
+	}
+	for name, test := range map[string]struct {
+		versions []identifier.SoftwareVersion
+		complete bool
+	}{
+		"two of each":  {[]identifier.SoftwareVersion{"v1", "v2", "v1", "v2"}, true},
+		"one of each":  {[]identifier.SoftwareVersion{"v1", "v2"}, true},
+		"none is left": {[]identifier.SoftwareVersion{"v1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			used := make(map[identifier.SoftwareVersion]int)
+			script := &scriptedClient{streams: []func(context.Context, connector.StreamCall) error{broken(2), broken(4), events(6, "")}}
+			config := mixedConfig(t, script, test.versions...)
+			upstreams := config.Upstreams.(*fakeUpstreams)
+			for i, attempt := range script.streams {
+				script.streams[i] = func(ctx context.Context, call connector.StreamCall) error {
+					used[call.Upstream.Software]++
+					if !test.complete {
+						upstreams.list = []connector.Upstream{{ID: "other", Zone: "z", Region: "r", Software: "v2"}}
+					}
+					return attempt(ctx, call)
+				}
+			}
+			var received sink
+			_, err := dispatcher.New(config).Stream(t.Context(), routeRequest, &received)
+			require.Len(t, used, 1, "software versions in one answer")
+			if test.complete {
+				require.NoError(t, err)
+				require.Equal(t, []string{"1", "2", "3", "4", "5", "6"}, received.events)
+				return
+			}
+			refusal, ok := refuser.As(err)
+			require.True(t, ok)
+			require.Equal(t, refuser.NoUpstream, refusal.Reason)
+		})
+	}
+}
+
+// Guards against a completion that goes on at an engine of another software version.
+func TestCompletionResumesOnlyAtItsSoftwareVersion(t *testing.T) {
+	versions := []identifier.SoftwareVersion{"v1", "v2", "v1", "v2"}
+	for number := range 6 {
+		var mu sync.Mutex
+		var used []identifier.SoftwareVersion
+		addresses := make([]string, len(versions))
+		for i, version := range versions {
+			e := newEngine(t)
+			addresses[i] = addressOf(e.server)
+			e.setScript(func(w http.ResponseWriter, request codec.EngineRequest) {
+				mu.Lock()
+				used = append(used, version)
+				mu.Unlock()
+				chunks := validChunks(request, 1)
+				if request.Resume == nil {
+					writeChunks(w, chunks[:3]...)
+					abort(w)
+				}
+				writeChunks(w, chunks...)
+				writeDone(w)
+			})
+		}
+		f := newFixture(t, addresses...)
+		for i, version := range versions {
+			f.upstreams.list[i].Software = version
+		}
+		result, err := f.Generate(t.Context(), connector.GenerateRequest{Entry: "m", Prompt: fmt.Sprint("prompt ", number)}, nil)
+		require.NoError(t, err)
+		require.Equal(t, completeText, result.Text)
+		require.Len(t, used, 2)
+		require.Equal(t, used[0], used[1])
+	}
+}
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -100,7 +100,7 @@
 		OnStart: func(head connector.PlainResponse) error { return s.start(a, head) },
 		OnEvent: func(event connector.StreamEvent) error {
 			stallTimer.Reset(streamStallTimeout)
-			return s.passEvent(event)
+			return s.passEvent(p, event)
 		},
 	})
 	var failed *connector.UpstreamError
@@ -122,10 +122,11 @@
 	return s.sink.Start(head)
 }
 
-func (s *stream) passEvent(event connector.StreamEvent) error {
+func (s *stream) passEvent(p placement, event connector.StreamEvent) error {
 	if !asserter.Check(asserter.EventsInOrder, event.Number == s.last+1, "stream of entry %s: event %d followed event %d", s.job.entry.Name, event.Number, s.last) {
 		return &connector.UpstreamError{Failure: connector.FailureBindingMismatch, Err: errStreamStalled}
 	}
 	s.last = event.Number
+	s.job.bindSoftware(p)
 	return s.sink.Event(event)
 }
--- a/service/router/events.go
+++ b/service/router/events.go
@@ -35,6 +35,8 @@
 	Prompt string
 	// MinVersion excludes upstreams that are known to serve older weights.
 	MinVersion identifier.WeightVersion
+	// Software, unless nil, is the only software version whose upstreams may be chosen.
+	Software *identifier.SoftwareVersion
 	// Excluded upstreams are never chosen.
 	Excluded []identifier.UpstreamID
 	// Avoided upstreams are chosen only when no other is left.
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -27,6 +27,8 @@
 	avoidAfterFailure           = time.Second
 	zoneShareOfSubset   float64 = 0.5
 	regionShareOfSubset float64 = 0.875
+	// minPerSoftware is the least number of upstreams of each software version in a subset.
+	minPerSoftware = 4
 )
 
 // Config configures a router; a zero limit, factor, length or age means its default.
@@ -166,7 +168,25 @@
 		kept = append(kept, tier[:taken]...)
 		rest = append(rest, tier[taken:]...)
 	}
-	return append(kept, rest[:min(r.config.SubsetSize-len(kept), len(rest))]...)
+	free := min(r.config.SubsetSize-len(kept), len(rest))
+	kept, rest = append(kept, rest[:free]...), rest[free:]
+	return addRareSoftware(kept, rest)
+}
+
+// addRareSoftware adds upstreams so that each software version has minPerSoftware in the subset, or all that it has: a stream
+// goes on only at the version that began it.
+func addRareSoftware(kept, rest []connector.Upstream) []connector.Upstream {
+	count := make(map[identifier.SoftwareVersion]int)
+	for _, upstream := range kept {
+		count[upstream.Software]++
+	}
+	for _, upstream := range rest {
+		if count[upstream.Software] < minPerSoftware {
+			count[upstream.Software]++
+			kept = append(kept, upstream)
+		}
+	}
+	return kept
 }
 
 // rankedForHost returns the upstreams in the order of the rendezvous hash for the host. It computes each score only
@@ -234,6 +254,7 @@
 	for _, n := range r.pools[e.Pool] {
 		switch {
 		case n.upstream.Leaving || n.reserved || slices.Contains(e.Excluded, n.upstream.ID):
+		case e.Software != nil && n.upstream.Software != *e.Software:
 		case n.servesOlder(e.Model, e.MinVersion):
 			outdated = true
 		case now.Before(n.avoidedUntil) || slices.Contains(e.Avoided, n.upstream.ID):
