batcher: an item's text goes on only at the software version that began it

What callers saw: a listed text of a batch item with events of engines of two software versions (ORDER, texts of items). Cause: the batcher continued a text on any engine with allowed weights: after a failed run, when it moved a run away from a slow engine, after a handover, from the texts in the store, and in a later job of the same item. Neither the state nor its stored and sent forms named the version. Change: a text has an origin, the pool and software version of its first event, which is saved and handed over with it; only engines of that origin run its item further. An item starts again if no engine of its origin is left, or after it has waited for one for as long as it takes to generate the text again, and only if another engine could run it. A text in the older format has no origin and starts again. Event 6117 logs it. TestLongTextsAreSaved states the origin of its saved text, which the format now has.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -728,9 +728,12 @@
 
 // ItemProgress The part of an unfinished item's text that the sender holds.
 type ItemProgress struct {
-	Complete bool            `json:"complete,omitempty"`
-	Events   []string        `json:"events"`
-	Item     ItemID          `json:"item"`
+	Complete bool     `json:"complete,omitempty"`
+	Events   []string `json:"events"`
+	Item     ItemID   `json:"item"`
+
+	// Origin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
+	Origin   StreamOrigin    `json:"origin,omitempty"`
 	Score    string          `json:"score,omitempty"`
 	Versions []WeightVersion `json:"versions"`
 }
@@ -1132,7 +1135,10 @@
 	Complete bool     `json:"complete,omitempty"`
 	Events   []string `json:"events"`
 	Item     ItemID   `json:"item"`
-	Score    string   `json:"score,omitempty"`
+
+	// Origin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
+	Origin StreamOrigin `json:"origin,omitempty"`
+	Score  string       `json:"score,omitempty"`
 
 	// Versions All versions of the text so far.
 	Versions []WeightVersion `json:"versions"`
@@ -1237,6 +1243,12 @@
 	Status      int    `json:"status"`
 }
 
+// StreamOrigin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
+type StreamOrigin struct {
+	Pool     PoolName        `json:"pool"`
+	Software SoftwareVersion `json:"software"`
+}
+
 // SubmitBatch Passes a job to the host that should own it.
 type SubmitBatch struct {
 	From HostID `json:"from"`
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -69,6 +69,7 @@
 	ResultsListed         Event = 6113
 	ResultsNotListed      Event = 6114
 	TextsNotSaved         Event = 6115
+	ItemTextRestarted     Event = 6117
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
 	OrderGiven            Event = 7004
@@ -132,6 +133,7 @@
 	{JobsNotReviewed, "batch jobs not reviewed", "The heads of the batch jobs could not be read, so this host cannot take over jobs whose owner is gone; it retries.", "Check the platform's store."},
 	{ItemRunEnded, "item run ended", "A run of a batch item on an engine ended; a warning names the failure.", "Check the engine if failures are frequent."},
 	{ItemRunStopped, "item run stopped", "This host stopped a run of a batch item; the field reason names the cause.", "No action is needed."},
+	{ItemTextRestarted, "item text restarted", "The text of a batch item starts again, because no engine of the software version that began it is left, or because none was free for longer than it takes to generate the text again.", "No action is needed if this is rare; otherwise check whether the engines of one software version are too few."},
 	{RewardEnded, "reward call ended", "The call that scores a finished batch item ended; a warning means that it returned no score.", "Check the scoring service if warnings are frequent."},
 	{ResultsListed, "results listed", "Further results of a batch job were written to the store.", "No action is needed."},
 	{ResultsNotListed, "results not listed", "A write of batch results to the store failed and is retried.", "Check the platform's store."},
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -259,6 +259,9 @@
 		b.stop(r, StopStalled)
 		return
 	}
+	if len(it.events) == 0 {
+		it.origin = r.engine.origin()
+	}
 	it.events = append(it.events, e.Event.Data)
 	if !slices.Contains(it.versions, e.Event.Version) {
 		it.versions = append(it.versions, e.Event.Version)
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -504,7 +504,7 @@
 	y.engines(engine("a", 2, 8))
 	y.open(batcher.JobOpened{
 		Job:   codec.BatchJob{ID: jobID, Model: model, MinVersion: 2, Items: []codec.BatchItem{item("long", 100)}},
-		Saved: []codec.ItemProgress{{Item: "long", Events: make([]string, 21), Versions: []identifier.WeightVersion{2}}},
+		Saved: []codec.ItemProgress{{Item: "long", Events: make([]string, 21), Versions: []identifier.WeightVersion{2}, Origin: codec.StreamOrigin{Pool: pool}}},
 	}, codec.BatchSpec{})
 	require.EqualValues(t, 21, y.runs[y.lastRun()].After)
 }
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -259,6 +259,9 @@
 				number := h.textChunks
 				d.work.Go(func() { d.saveTexts(h, c, number) })
 			}
+		case LogRestart:
+			d.config.Log.Info(logger.ItemTextRestarted).Str("request", string(c.Item)).Str("job", string(c.Job)).Str("pool", string(c.Origin.Pool)).
+				Str("software", string(c.Origin.Software)).Int("events", c.Events).Send()
 		case NotifyReaders:
 			if h, ok := d.owned[c.Job]; ok {
 				close(h.changed)
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -75,6 +75,11 @@
 	return defaultSlots
 }
 
+// origin returns the origin of the texts that the engine begins.
+func (e *engine) origin() codec.StreamOrigin {
+	return codec.StreamOrigin{Pool: e.host.Pool, Software: e.host.Software}
+}
+
 // version returns the weight version of a model that the engine serves; an engine whose entry lists no models serves
 // any model.
 func (e *engine) version(now time.Time, model identifier.ModelName) (version identifier.WeightVersion, known bool) {
@@ -131,9 +136,14 @@
 	e.refusals++
 }
 
-// serves reports whether the engine may run items of a job.
+// serves reports whether the engine may run items of a job now.
 func (e *engine) serves(now time.Time, j *job) bool {
-	if e.host.State == codec.HostStateLeaving || now.Before(e.usableAt) || !j.allowsPool(e.host.Pool) {
+	return !now.Before(e.usableAt) && e.suits(now, j)
+}
+
+// suits reports whether the engine may run items of a job, now or after a pause.
+func (e *engine) suits(now time.Time, j *job) bool {
+	if e.host.State == codec.HostStateLeaving || !j.allowsPool(e.host.Pool) {
 		return false
 	}
 	version, known := e.version(now, j.job.Model)
@@ -203,7 +213,7 @@
 	for _, hosts := range lists {
 		for _, host := range hosts {
 			known, ok := b.engines[host.ID]
-			if !ok || known.host.Address != host.Address || !known.host.StartedAt.Equal(host.StartedAt) {
+			if !ok || known.host.Address != host.Address || !known.host.StartedAt.Equal(host.StartedAt) || known.host.Software != host.Software {
 				known = newEngine(host)
 			}
 			known.host = host
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -142,6 +142,15 @@
 	Texts []codec.SavedText
 }
 
+// LogRestart logs that the text of an item starts again, because no engine of its origin could continue it.
+type LogRestart struct {
+	Job    identifier.BatchID
+	Item   identifier.ItemID
+	Origin codec.StreamOrigin
+	// Events is the number of events that are discarded.
+	Events int
+}
+
 // NotifyReaders wakes the readers that wait for results of a job: its list has changed or the job has ended.
 type NotifyReaders struct{ Job identifier.BatchID }
 
@@ -151,6 +160,7 @@
 func (Append) isCommand()        {}
 func (NotifyReaders) isCommand() {}
 func (SaveTexts) isCommand()     {}
+func (LogRestart) isCommand()    {}
 
 // StopReason is why a run was stopped, as it appears in logs.
 type StopReason string
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -29,9 +29,13 @@
 	// events holds the text so far; versions holds the weight versions that generated it, in order of first use.
 	events   []string
 	versions []identifier.WeightVersion
+	// origin is that of the first event; only engines of the same origin may continue the text.
+	origin   codec.StreamOrigin
 	complete bool
 	score    string
 	run      *run
+	// blockedSince is when no engine of the text's origin was free for the next run; zero while the item is not blocked.
+	blockedSince time.Time
 	// failures counts the runs to which engines responded with a failure status.
 	failures int
 	// rewardFailures counts the failures that scorers returned; rewardAt is when the call may be sent again.
@@ -143,13 +147,15 @@
 func (it *item) restore(progress codec.ItemProgress) {
 	it.events = slices.Clone(progress.Events)
 	it.versions = slices.Clone(progress.Versions)
+	it.origin = progress.Origin
 	it.complete = progress.Complete
 	it.score = progress.Score
 }
 
 func (it *item) progress() codec.ItemProgress {
 	return codec.ItemProgress{
-		Item: it.spec.ID, Events: slices.Clone(it.events), Versions: slices.Clone(it.versions), Complete: it.complete, Score: it.score,
+		Item: it.spec.ID, Events: slices.Clone(it.events), Versions: slices.Clone(it.versions), Origin: it.origin,
+		Complete: it.complete, Score: it.score,
 	}
 }
 
@@ -157,6 +163,7 @@
 func (it *item) clear() {
 	it.events = nil
 	it.versions = nil
+	it.origin = codec.StreamOrigin{}
 	it.complete = false
 	it.score = ""
 	it.saved = 0
@@ -164,6 +171,9 @@
 	it.restarts++
 }
 
+// fits reports whether an engine may run the item: it may continue the text, or there is none yet.
+func (it *item) fits(e *engine) bool { return len(it.events) == 0 || it.origin == e.origin() }
+
 func (it *item) lastEvent() identifier.EventNumber { return identifier.EventNumber(len(it.events)) }
 
 // allowedIn reports whether the text so far may become part of a result of the job.
--- a/service/batcher/save.go
+++ b/service/batcher/save.go
@@ -28,7 +28,7 @@
 				continue
 			}
 			texts = append(texts, codec.SavedText{
-				Item: it.spec.ID, After: it.saved, Events: slices.Clone(it.events[it.saved:]), Versions: slices.Clone(it.versions),
+				Item: it.spec.ID, After: it.saved, Events: slices.Clone(it.events[it.saved:]), Versions: slices.Clone(it.versions), Origin: it.origin,
 				Complete: it.complete, Score: it.score,
 			})
 			if j.saving == nil {
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -59,6 +59,13 @@
 			continue
 		}
 		e := b.chooseWithTurn(now, j, it)
+		if e == nil && len(it.events) > 0 {
+			if !b.restartPays(now, j, it) {
+				continue
+			}
+			b.restartText(j, it)
+			e = b.chooseWithTurn(now, j, it)
+		}
 		if e == nil {
 			return
 		}
@@ -66,6 +73,28 @@
 	}
 }
 
+// restartPays reports whether the text of an item that no free engine may continue starts again on another one, if one is free:
+// because no engine of its origin is left, or because the item has waited for one for as long as it takes to generate the text
+// again. A wait then costs at most twice what the better choice would have.
+func (b *Batcher) restartPays(now time.Time, j *job, it *item) bool {
+	if it.blockedSince.IsZero() {
+		it.blockedSince = now
+	}
+	left, free := false, false
+	for id, e := range b.engines {
+		left = left || it.fits(e) && e.suits(now, j)
+		_, without := b.withoutTurn[id]
+		free = free || !without && b.pacer.Available(id) && e.freeSlots(now) > 0 && e.serves(now, j)
+	}
+	return free && (!left || now.Sub(it.blockedSince) > time.Duration(len(it.events))*b.typicalInterval(now))
+}
+
+// restartText discards the text of an item, so that any engine may run it.
+func (b *Batcher) restartText(j *job, it *item) {
+	b.emit(LogRestart{Job: j.job.ID, Item: it.spec.ID, Origin: it.origin, Events: len(it.events)})
+	it.clear()
+}
+
 // chooseWithTurn returns the best engine that is not limited or has a turn for the run, and uses up the turn; nil if there is
 // none.
 func (b *Batcher) chooseWithTurn(now time.Time, j *job, it *item) *engine {
@@ -89,7 +118,7 @@
 	var bestCost float64
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if _, without := b.withoutTurn[id]; without || e.freeSlots(now) <= 0 || !e.serves(now, j) {
+		if _, without := b.withoutTurn[id]; without || !it.fits(e) || e.freeSlots(now) <= 0 || !e.serves(now, j) {
 			continue
 		}
 		cost := e.slowness(now, typical) + loadCost*float64(e.inFlight)/float64(e.slots())
@@ -118,6 +147,7 @@
 	b.runs[r.id] = r
 	it.run = r
 	it.state = itemRunning
+	it.blockedSince = time.Time{}
 	e.inFlight++
 	b.promptEngines[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
 	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Item: it.spec, Engine: e.host, After: it.lastEvent()})
--- a/service/batcher/straggler.go
+++ b/service/batcher/straggler.go
@@ -107,7 +107,7 @@
 	remaining := max(len(r.item.events), minRemainingEvents)
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if e == r.engine || !e.serves(now, r.job) || e.freeSlots(now) <= moves || !b.pacer.Available(id) {
+		if e == r.engine || !r.item.fits(e) || !e.serves(now, r.job) || e.freeSlots(now) <= moves || !b.pacer.Available(id) {
 			continue
 		}
 		other := time.Duration(e.slowness(now, typical) * float64(typical))
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -301,6 +301,7 @@
 	kept := min(max(text.After, 0), len(progress.Events))
 	progress.Events = append(progress.Events[:kept:kept], text.Events...)
 	progress.Versions = text.Versions
+	progress.Origin = text.Origin
 	progress.Complete = text.Complete
 	progress.Score = text.Score
 }
