binder: a stream that its caller takes up at another host keeps its software version

Cause: a host that got Last-Event-Id continued the stream on any upstream of the route's pool. Which upstream had begun it was known to the first host only, and ended with its process. Change: the new package binder. The host that passes the first event on records pool and software version under the id of that attempt, here and on three hosts chosen by rendezvous hashing, with spares for those that do not confirm. A host that is asked to take a stream up, named in Resumes, asks these, and routes to that origin only. A record never changes, so no copy can be wrong; without any the request is refused, not run, with the new reason stream_unknown. A lookup that overtakes its record waits up to 0.1 s for it. Nothing waits for the store or for other hosts before an event is passed on.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -652,6 +652,11 @@
 	WeightVersion WeightVersion `json:"weight_version"`
 }
 
+// FindOrigin Asks a directory host for the origin of a stream.
+type FindOrigin struct {
+	Stream StreamID `json:"stream"`
+}
+
 // Fingerprint defines model for Fingerprint.
 type Fingerprint = identifier.Fingerprint
 
@@ -670,6 +675,17 @@
 	Upstream UpstreamID `json:"upstream,omitempty"`
 }
 
+// FoundOrigin defines model for FoundOrigin.
+type FoundOrigin struct {
+	Found bool `json:"found"`
+
+	// Keep How much longer the sender keeps the record.
+	Keep Duration `json:"keep,omitempty"`
+
+	// Origin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
+	Origin StreamOrigin `json:"origin,omitempty"`
+}
+
 // GroupID defines model for GroupID.
 type GroupID = identifier.GroupID
 
@@ -1044,6 +1060,16 @@
 	Page  *BatchPage `json:"page,omitempty"`
 }
 
+// RecordOrigin Records the origin of a stream at a directory host.
+type RecordOrigin struct {
+	// Keep How long the record is kept from its receipt on.
+	Keep Duration `json:"keep"`
+
+	// Origin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
+	Origin StreamOrigin `json:"origin"`
+	Stream StreamID     `json:"stream"`
+}
+
 // Region defines model for Region.
 type Region = identifier.Region
 
@@ -1243,6 +1269,9 @@
 	Status      int    `json:"status"`
 }
 
+// StreamID defines model for StreamID.
+type StreamID = identifier.StreamID
+
 // StreamOrigin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
 type StreamOrigin struct {
 	Pool     PoolName        `json:"pool"`
--- a/lib/identifier/identifier.go
+++ b/lib/identifier/identifier.go
@@ -26,6 +26,8 @@
 	EditID string
 	// SoftwareVersion names the version of an upstream's software. Texts of engines of two versions do not fit together.
 	SoftwareVersion string
+	// StreamID identifies a stream over all attempts of its caller: it is the id of the attempt that brought the first event.
+	StreamID string
 	// Fingerprint is a digest of the body of a request; it does not depend on ids that the caller chose.
 	Fingerprint string
 	// Revision numbers accepted catalogues; it grows by one with each accepted edit.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -44,6 +44,7 @@
 	UpstreamLimited       Event = 4009
 	TurnsUnavailable      Event = 4010
 	StreamResumed         Event = 4011
+	OriginCallFailed      Event = 4012
 	HostReportedEmpty     Event = 1009
 	SettingsReloaded      Event = 1010
 	LinesDropped          Event = 1011
@@ -114,6 +115,7 @@
 	{UpstreamLimited, "upstream limits its requests", "An upstream named another limit in a response: per_second is the number of requests a second that it takes from all hosts together, or 0 once it names none. Requests to it wait for turns, which one host hands out.", "Find out why the upstream is in need if it does not recover."},
 	{TurnsUnavailable, "turns unavailable", "The host that hands out the turns for a limited upstream did not reply, so another host hands them out, at half the rate.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{StreamResumed, "stream resumed", "A stream goes on after the event in the field after, which an earlier attempt, or an earlier request of the caller, brought. The field software is the version of the upstream's software.", "No action is needed."},
+	{OriginCallFailed, "call about the origin of a stream failed", "A host did not confirm the record of which software version began a stream, or a lookup of it; other hosts hold copies.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{UpstreamUnreadable, "store entry unreadable", "The store's entry of an upstream or of a weight version could not be decoded and is ignored.", "Correct the program that writes the entry."},
 	{PermitOutcomeUnknown, "permit outcome unknown", "The store's response to an operation on permits was lost, so this host does not know whether the operation took effect; it reads the permits back.", "No action is needed."},
 	{ShardTaken, "permit shard taken over", "This host began to grant the permits of a shard.", "No action is needed."},
--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -20,6 +20,7 @@
 	DeadlineExceeded       Reason = "deadline_exceeded"
 	NoUpstream             Reason = "no_upstream"
 	UpstreamsLimited       Reason = "upstreams_limited"
+	StreamUnknown          Reason = "stream_unknown"
 	RetryBudgetSpent       Reason = "retry_budget_spent"
 	AttemptsExhausted      Reason = "attempts_exhausted"
 	CrashesUpstreams       Reason = "crashes_upstreams"
@@ -80,6 +81,7 @@
 	{DeadlineExceeded, http.StatusGatewayTimeout, "The deadline passed while the request ran."},
 	{NoUpstream, http.StatusServiceUnavailable, "No upstream of the pool can take work."},
 	{UpstreamsLimited, http.StatusServiceUnavailable, "The upstreams limit their requests, and the turn of this one comes after its deadline."},
+	{StreamUnknown, http.StatusServiceUnavailable, "The stream cannot be taken up: no host that responds knows the software version that began it."},
 	{RetryBudgetSpent, http.StatusServiceUnavailable, "An attempt failed and the retry budget is used up."},
 	{AttemptsExhausted, http.StatusBadGateway, "Every allowed attempt failed."},
 	{CrashesUpstreams, http.StatusUnprocessableEntity, "This request is known to crash the upstreams that run it."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/batcher"
+	"celerygap.example/service/binder"
 	"celerygap.example/service/cataloguer"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/dispatcher"
@@ -160,6 +161,7 @@
 	batcher    *batcher.Driver
 	placer     *placer.Driver
 	pacer      *pacer.Driver
+	binder     *binder.Driver
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -242,11 +244,12 @@
 	h.pacer = pacer.NewDriver(pacer.DriverConfig{
 		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnTurn: func() { h.dispatcher.Recheck() },
 	})
+	h.binder = binder.NewDriver(binder.DriverConfig{Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log})
 	upstreams := h.config.NewUpstreams(observer{h})
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
-		Limiter: limiterConfig, Pacer: h.pacer,
+		Limiter: limiterConfig, Pacer: h.pacer, Origins: h.binder,
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
 	h.buildBatcherAndPlacer(upstreams)
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -103,6 +103,7 @@
 		{Name: "batcher", Run: h.batcher.Run},
 		{Name: "placer", Run: h.placer.Run},
 		{Name: "pacer", Run: h.pacer.Run},
+		{Name: "binder", Run: h.binder.Run},
 		{Name: "configuration", Run: h.configuration.Run},
 		{Name: "upstreams", Run: h.upstreams.Run},
 		{Name: "retirer", Run: h.newRetirer().Run},
--- /dev/null
+++ b/service/binder/binder_test.go
@@ -0,0 +1,189 @@
+package binder_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/timer"
+	"celerygap.example/service/binder"
+	"celerygap.example/service/connector"
+)
+
+var errDown = errors.New("host is down")
+
+// fleet connects the drivers of several hosts in memory.
+type fleet struct {
+	mu       sync.Mutex
+	handlers map[identifier.HostID]map[string]connector.Handler
+	down     map[identifier.HostID]bool
+	// delay is how long each call takes to arrive.
+	delay time.Duration
+}
+
+type peers struct {
+	fleet *fleet
+	self  identifier.HostID
+}
+
+func (p peers) Handle(method string, handler connector.Handler) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if p.fleet.handlers[p.self] == nil {
+		p.fleet.handlers[p.self] = make(map[string]connector.Handler)
+	}
+	p.fleet.handlers[p.self][method] = handler
+}
+
+func (p peers) Call(ctx context.Context, to codec.Member, method string, params, result any) error {
+	time.Sleep(p.fleet.delay)
+	p.fleet.mu.Lock()
+	handler, down := p.fleet.handlers[to.ID][method], p.fleet.down[to.ID] || p.fleet.down[p.self]
+	p.fleet.mu.Unlock()
+	if down {
+		return errDown
+	}
+	text, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := handler(ctx, text)
+	if err != nil || result == nil {
+		return err
+	}
+	if text, err = json.Marshal(reply); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, result)
+}
+
+type members struct {
+	self identifier.HostID
+	all  []codec.Member
+}
+
+func (m members) Self() codec.Member   { return codec.Member{ID: m.self} }
+func (m members) Live() []codec.Member { return m.all }
+
+func newFleet(count int, delay time.Duration) (*fleet, []*binder.Driver) {
+	f := &fleet{handlers: make(map[identifier.HostID]map[string]connector.Handler), down: make(map[identifier.HostID]bool), delay: delay}
+	var all []codec.Member
+	for i := range count {
+		all = append(all, codec.Member{ID: identifier.HostID(fmt.Sprint("h", i))})
+	}
+	drivers := make([]*binder.Driver, count)
+	for i, member := range all {
+		drivers[i] = binder.NewDriver(binder.DriverConfig{
+			Members: members{member.ID, all}, Peers: peers{f, member.ID}, Timer: timer.New(timer.Config{}),
+		})
+	}
+	return f, drivers
+}
+
+func (f *fleet) setDown(index int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[identifier.HostID(fmt.Sprint("h", index))] = true
+}
+
+var origin = codec.StreamOrigin{Pool: "p", Software: "v2"}
+
+// Guards against streams that cannot go on after the host that began them and another one were lost, whichever these are.
+func TestOriginIsFoundAfterHostsWereLost(t *testing.T) {
+	for lost := 1; lost < 8; lost++ {
+		f, drivers := newFleet(8, 0)
+		stream := identifier.StreamID(fmt.Sprint("s", lost))
+		drivers[0].Record(stream, origin, time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		f.setDown(0)
+		f.setDown(lost)
+		for i, d := range drivers {
+			if i == 0 || i == lost {
+				continue
+			}
+			found, ok := d.Find(t.Context(), stream)
+			require.True(t, ok, "host %d", i)
+			require.Equal(t, origin, found)
+		}
+	}
+}
+
+// Guards against directory hosts that are down while a stream begins: others take their place.
+func TestSpareHostsKeepTheRecord(t *testing.T) {
+	for lost := 2; lost < 8; lost++ {
+		f, drivers := newFleet(8, 0)
+		f.setDown(lost)
+		f.setDown(1)
+		stream := identifier.StreamID(fmt.Sprint("s", lost))
+		drivers[0].Record(stream, origin, time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		f.setDown(0)
+		for i, d := range drivers {
+			if i < 2 || i == lost {
+				continue
+			}
+			_, ok := d.Find(t.Context(), stream)
+			require.True(t, ok, "host %d", i)
+		}
+	}
+}
+
+// Guards against a caller that comes to another host sooner than the record of its stream arrives there.
+func TestLookupWaitsForARecordUnderWay(t *testing.T) {
+	_, drivers := newFleet(4, 20*time.Millisecond)
+	time.AfterFunc(30*time.Millisecond, func() { drivers[0].Record("s", origin, time.Minute) })
+	found, ok := drivers[1].Find(t.Context(), "s")
+	require.True(t, ok)
+	require.Equal(t, origin, found)
+}
+
+// Guards against a lookup of an unknown stream that keeps its caller waiting, and against a request without a stream.
+func TestUnknownStreamIsReportedSoon(t *testing.T) {
+	f, drivers := newFleet(6, 0)
+	f.setDown(2)
+	started := time.Now()
+	_, ok := drivers[0].Find(t.Context(), "unknown")
+	require.False(t, ok)
+	_, ok = drivers[0].Find(t.Context(), "")
+	require.False(t, ok)
+	require.Less(t, time.Since(started), 300*time.Millisecond)
+}
+
+// Guards against records that change, that outlive their time, and that callers can make arbitrarily large or many.
+func TestRecordsAreFixedAndBounded(t *testing.T) {
+	now := time.Now()
+	r := binder.NewRecords()
+	r.Put("s", origin, now.Add(time.Second))
+	r.Put("s", codec.StreamOrigin{Pool: "p", Software: "v1"}, now.Add(2*time.Second))
+	found, until, ok := r.Get(now, "s")
+	require.True(t, ok)
+	require.Equal(t, origin, found)
+	require.Equal(t, now.Add(2*time.Second), until)
+	_, _, ok = r.Get(now.Add(2*time.Second), "s")
+	require.False(t, ok)
+	r.Expire(now.Add(2 * time.Second))
+	r.Put("s", codec.StreamOrigin{Pool: "p", Software: "v1"}, now.Add(time.Hour))
+	found, _, _ = r.Get(now, "s")
+	require.EqualValues(t, "v1", found.Software)
+
+	long := identifier.StreamID(strings.Repeat("x", 300))
+	r.Put(long, origin, now.Add(time.Hour))
+	_, _, ok = r.Get(now, long)
+	require.False(t, ok)
+	for i := range 1<<16 + 10 {
+		r.Put(identifier.StreamID(fmt.Sprint("n", i)), origin, now.Add(time.Hour))
+	}
+	_, _, ok = r.Get(now, "n0")
+	require.False(t, ok, "the oldest record makes room for a new one")
+	_, _, ok = r.Get(now, "n20")
+	require.True(t, ok)
+}
--- /dev/null
+++ b/service/binder/doc.go
@@ -0,0 +1,9 @@
+// Package binder keeps which upstream version began each stream, so that a caller who takes a stream up at another host gets
+// events that fit the earlier ones.
+//
+// The host that passes the first event of a stream on records its origin, and sends it to a few directory hosts, chosen by
+// rendezvous hashing among the live ones; any other host asks these. A record never changes, so all copies are the same, and a
+// stream of which no copy is left is not continued. Nothing of this needs the platform's store.
+//
+// Records is the state of one host; Driver connects it to the other hosts.
+package binder
--- /dev/null
+++ b/service/binder/driver.go
@@ -0,0 +1,213 @@
+package binder
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"celerygap.example/lib/annotator"
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/logger"
+	"celerygap.example/lib/timer"
+	"celerygap.example/service/connector"
+	"celerygap.example/service/elector"
+)
+
+const (
+	// methodRecord records the origin of a stream at a directory host; methodFind asks for one.
+	methodRecord = "record_origin"
+	methodFind   = "find_origin"
+	// electionPrefix distinguishes the choice of the directory hosts from other choices with the same key.
+	electionPrefix = "streams/"
+	// directoryHosts is the number of other hosts that get each record; spareHosts replace those that do not confirm it. A
+	// lookup asks as many hosts as both together, because another host may see other live members.
+	directoryHosts = 3
+	spareHosts     = 3
+	// callTimeout bounds a call to a directory host, arrivalWait included.
+	callTimeout = 400 * time.Millisecond
+	// arrivalWait is how long a directory host waits for a record that it is asked for: the caller may come to the other host
+	// before the record arrives, which takes a network path and, at worst, a new connection.
+	arrivalWait = 100 * time.Millisecond
+	// expiryInterval is how often expired records are forgotten.
+	expiryInterval = 5 * time.Second
+)
+
+// DriverConfig configures a Driver.
+type DriverConfig struct {
+	Members connector.Members
+	Peers   connector.Peers
+	Timer   *timer.Service
+	Log     *logger.Logger
+}
+
+// Driver records origins on other hosts and looks them up there. It is safe for concurrent use.
+type Driver struct {
+	config DriverConfig
+	work   *grouper.Group
+	base   context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	records *Records
+	// arrived is closed and replaced when a record arrives.
+	arrived chan struct{}
+}
+
+var _ connector.StreamOrigins = (*Driver)(nil)
+
+// NewDriver returns a Driver and registers its methods with the peers.
+func NewDriver(config DriverConfig) *Driver {
+	if config.Log == nil {
+		config.Log = logger.Discard()
+	}
+	base, cancel := context.WithCancel(context.Background())
+	d := &Driver{
+		config: config, work: grouper.NewGroup(-1), base: base, cancel: cancel, records: NewRecords(), arrived: make(chan struct{}),
+	}
+	config.Peers.Handle(methodRecord, d.serveRecord)
+	config.Peers.Handle(methodFind, d.serveFind)
+	return d
+}
+
+// Run forgets expired records until ctx ends, then waits for the calls under way; its error is always nil.
+func (d *Driver) Run(ctx context.Context) error {
+	ticks, stop := d.config.Timer.Subscribe(expiryInterval)
+	defer stop()
+	defer d.work.Wait()
+	defer d.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			d.mu.Lock()
+			d.records.Expire(time.Now())
+			d.mu.Unlock()
+		}
+	}
+}
+
+// Record keeps the origin of a stream for a time, here and on the directory hosts. It does not wait for these.
+func (d *Driver) Record(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration) {
+	d.put(stream, origin, keep)
+	request := codec.RecordOrigin{Stream: stream, Origin: origin, Keep: identifier.Duration(keep)}
+	candidates := make(chan codec.Member, directoryHosts+spareHosts)
+	for _, member := range d.directory(stream) {
+		candidates <- member
+	}
+	close(candidates)
+	for range directoryHosts {
+		d.work.Go(func() {
+			for member := range candidates {
+				if d.call(d.base, member, methodRecord, request, nil) == nil || d.base.Err() != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+// Find returns the origin of a stream, from this host or from the first directory host that knows it; found is false if none
+// that responds does.
+func (d *Driver) Find(ctx context.Context, stream identifier.StreamID) (origin codec.StreamOrigin, found bool) {
+	if origin, _, ok := d.get(stream); ok {
+		return origin, true
+	}
+	if stream == "" {
+		return codec.StreamOrigin{}, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	members := d.directory(stream)
+	replies := make(chan codec.FoundOrigin, len(members))
+	for _, member := range members {
+		d.work.Go(func() {
+			var reply codec.FoundOrigin
+			if err := d.call(ctx, member, methodFind, codec.FindOrigin{Stream: stream}, &reply); err != nil {
+				reply = codec.FoundOrigin{}
+			}
+			replies <- reply
+		})
+	}
+	for range members {
+		if reply := <-replies; reply.Found {
+			d.put(stream, reply.Origin, reply.Keep.Std())
+			return reply.Origin, true
+		}
+	}
+	return codec.StreamOrigin{}, false
+}
+
+// directory returns the other hosts that may hold the record of a stream, in order.
+func (d *Driver) directory(stream identifier.StreamID) []codec.Member {
+	return elector.Rank(electionPrefix+string(stream), d.config.Members.Live(), directoryHosts+spareHosts, d.config.Members.Self().ID)
+}
+
+func (d *Driver) call(ctx context.Context, member codec.Member, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := d.config.Peers.Call(ctx, member, method, params, result)
+	if err != nil && ctx.Err() != context.Canceled {
+		d.config.Log.Warn(logger.OriginCallFailed).Str("method", method).Str("peer", string(member.ID)).Err(err).Send()
+	}
+	return err
+}
+
+func (d *Driver) put(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records.Put(stream, origin, time.Now().Add(keep))
+	close(d.arrived)
+	d.arrived = make(chan struct{})
+}
+
+// get returns a record of this host and how much longer it is kept.
+func (d *Driver) get(stream identifier.StreamID) (origin codec.StreamOrigin, keep time.Duration, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	origin, until, found := d.records.Get(now, stream)
+	return origin, until.Sub(now), found
+}
+
+// nextArrival returns a channel that is closed when the next record arrives.
+func (d *Driver) nextArrival() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.arrived
+}
+
+func (d *Driver) serveRecord(_ context.Context, params json.RawMessage) (any, error) {
+	var request codec.RecordOrigin
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode origin of a stream", "peer", err)
+	}
+	d.put(request.Stream, request.Origin, request.Keep.Std())
+	return struct{}{}, nil
+}
+
+// serveFind returns the record of a stream. If there is none, it waits arrivalWait for it.
+func (d *Driver) serveFind(ctx context.Context, params json.RawMessage) (any, error) {
+	var request codec.FindOrigin
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, annotator.Wrap("decode lookup of a stream", "peer", err)
+	}
+	limit := time.NewTimer(arrivalWait)
+	defer limit.Stop()
+	for {
+		arrived := d.nextArrival()
+		if origin, keep, ok := d.get(request.Stream); ok {
+			return codec.FoundOrigin{Found: true, Origin: origin, Keep: identifier.Duration(keep)}, nil
+		}
+		select {
+		case <-arrived:
+		case <-limit.C:
+			return codec.FoundOrigin{}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/service/binder/records.go
@@ -0,0 +1,78 @@
+package binder
+
+import (
+	"container/list"
+	"time"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+)
+
+const (
+	// maxRecords bounds the records of a host, some 200 bytes each. Beyond it the oldest ones are forgotten.
+	maxRecords = 1 << 16
+	// maxIDLength is the length in bytes of the longest stream id that is recorded: callers choose the ids.
+	maxIDLength = 256
+)
+
+// record is the origin of one stream.
+type record struct {
+	stream identifier.StreamID
+	origin codec.StreamOrigin
+	until  time.Time
+}
+
+// Records holds the origins of streams. It is not safe for concurrent use.
+type Records struct {
+	byStream map[identifier.StreamID]*list.Element
+	// order holds the records, the oldest first.
+	order *list.List
+}
+
+// NewRecords returns an empty Records.
+func NewRecords() *Records {
+	return &Records{byStream: make(map[identifier.StreamID]*list.Element), order: list.New()}
+}
+
+// Put records the origin of a stream until a moment. The first origin of a stream stays.
+func (r *Records) Put(stream identifier.StreamID, origin codec.StreamOrigin, until time.Time) {
+	if stream == "" || len(stream) > maxIDLength {
+		return
+	}
+	if element, ok := r.byStream[stream]; ok {
+		if known := element.Value.(*record); until.After(known.until) {
+			known.until = until
+		}
+		return
+	}
+	if r.order.Len() >= maxRecords {
+		r.remove(r.order.Front())
+	}
+	r.byStream[stream] = r.order.PushBack(&record{stream: stream, origin: origin, until: until})
+}
+
+// Get returns the origin of a stream and until when it is kept.
+func (r *Records) Get(now time.Time, stream identifier.StreamID) (origin codec.StreamOrigin, until time.Time, ok bool) {
+	element, ok := r.byStream[stream]
+	if !ok {
+		return codec.StreamOrigin{}, time.Time{}, false
+	}
+	known := element.Value.(*record)
+	return known.origin, known.until, now.Before(known.until)
+}
+
+// Expire forgets the records whose time is over.
+func (r *Records) Expire(now time.Time) {
+	for element := r.order.Front(); element != nil; {
+		next := element.Next()
+		if !now.Before(element.Value.(*record).until) {
+			r.remove(element)
+		}
+		element = next
+	}
+}
+
+func (r *Records) remove(element *list.Element) {
+	delete(r.byStream, element.Value.(*record).stream)
+	r.order.Remove(element)
+}
--- a/service/connector/plain.go
+++ b/service/connector/plain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 )
 
@@ -58,6 +59,14 @@
 	Stream(ctx context.Context, call StreamCall) error
 }
 
+// StreamOrigins keeps which upstreams began the streams that callers may take up at any host.
+type StreamOrigins interface {
+	// Record keeps the origin of a stream for a time; it does not wait for other hosts.
+	Record(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration)
+	// Find returns the origin of a stream; found is false if no host that responds knows it.
+	Find(ctx context.Context, stream identifier.StreamID) (origin codec.StreamOrigin, found bool)
+}
+
 // StreamSink receives a stream for the caller.
 type StreamSink interface {
 	// Start is called once, with the status and header of the first upstream's response.
--- a/service/connector/request.go
+++ b/service/connector/request.go
@@ -72,7 +72,9 @@
 	Header         http.Header
 	Body           []byte
 	IdempotencyKey string
-	Deadline       time.Time
+	// Resumes identifies the stream that the request takes up after the events that the caller has; empty for other requests.
+	Resumes  identifier.StreamID
+	Deadline time.Time
 	// Sound is set for a request that belongs to work that was handed in to run later, such as a reward call. It never crashes
 	// upstreams by itself, so no crash counts against it.
 	Sound bool
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -47,6 +47,8 @@
 	Plain     connector.PlainServices
 	// Streams serves routes whose responses are streams; it may be nil without such routes.
 	Streams connector.Streams
+	// Origins keeps which upstreams began the callers' streams. Without it no stream can be taken up by a later request.
+	Origins connector.StreamOrigins
 	Permits connector.Permits
 	// Pacer keeps attempts within the limits that upstreams name; nil means that they name none.
 	Pacer    connector.Pacer
--- a/service/dispatcher/software_test.go
+++ b/service/dispatcher/software_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -107,3 +108,62 @@
 		require.Equal(t, used[0], used[1])
 	}
 }
+
+// fakeOrigins keeps the origins of streams for the dispatchers of several hosts.
+type fakeOrigins struct {
+	known map[identifier.StreamID]codec.StreamOrigin
+}
+
+func (o *fakeOrigins) Record(stream identifier.StreamID, origin codec.StreamOrigin, _ time.Duration) {
+	o.known[stream] = origin
+}
+
+func (o *fakeOrigins) Find(_ context.Context, stream identifier.StreamID) (codec.StreamOrigin, bool) {
+	origin, ok := o.known[stream]
+	return origin, ok
+}
+
+// Guards against a stream that a caller takes up at another host and that goes on at another software version or in another
+// pool, and against one whose origin nobody knows.
+func TestStreamTakenUpByItsCallerKeepsItsOrigin(t *testing.T) {
+	origins := &fakeOrigins{known: make(map[identifier.StreamID]codec.StreamOrigin)}
+	var used []identifier.SoftwareVersion
+	attempt := func(last identifier.EventNumber, failure connector.Failure) func(context.Context, connector.StreamCall) error {
+		return func(ctx context.Context, call connector.StreamCall) error {
+			used = append(used, call.Upstream.Software)
+			return events(last, failure)(ctx, call)
+		}
+	}
+	send := func(id string, resumes identifier.StreamID, after int, versions []identifier.SoftwareVersion, attempts ...func(context.Context, connector.StreamCall) error) *refuser.Refusal {
+		config := mixedConfig(t, &scriptedClient{streams: attempts}, versions...)
+		config.Origins = origins
+		request := routeRequest
+		request.ID, request.Resumes, request.Header = id, resumes, http.Header{}
+		if after > 0 {
+			request.Header.Set("Last-Event-Id", fmt.Sprint(after))
+		}
+		_, err := dispatcher.New(config).Stream(t.Context(), request, &sink{})
+		refusal, _ := refuser.As(err)
+		return refusal
+	}
+	two := []identifier.SoftwareVersion{"v1", "v2"}
+	for number := range 10 {
+		used = nil
+		first := fmt.Sprint("first", number)
+		refusal := send(first, "", 0, []identifier.SoftwareVersion{"v2"}, attempt(2, connector.FailureConnectionLost), attempt(2, connector.FailureCancelled))
+		require.NotNil(t, refusal)
+		require.Nil(t, send(fmt.Sprint("second", number), identifier.StreamID(first), 2, two, attempt(6, "")))
+		require.NotContains(t, used, identifier.SoftwareVersion("v1"))
+	}
+	used = nil
+	refusal := send("third", "first0", 2, []identifier.SoftwareVersion{"v1"}, attempt(6, ""))
+	require.Equal(t, refuser.NoUpstream, refusal.Reason, "no upstream of the version is left")
+	refusal = send("fourth", "unknown", 2, two, attempt(6, ""))
+	require.Equal(t, refuser.StreamUnknown, refusal.Reason)
+	require.Equal(t, codec.OutcomeNotRun, refusal.Outcome)
+	require.Positive(t, refusal.RetryAfter)
+	origins.known["first0"] = codec.StreamOrigin{Pool: "other", Software: "v2"}
+	refusal = send("fifth", "first0", 2, two, attempt(6, ""))
+	require.Equal(t, refuser.NoUpstream, refusal.Reason, "the route does not use the pool any more")
+	require.Empty(t, used)
+}
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
 	"celerygap.example/lib/asserter"
+	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/refuser"
@@ -20,6 +22,8 @@
 	// streamStallTimeout is the longest wait for the next event before a stream that allows it is resumed on another
 	// upstream; callers time out after two seconds.
 	streamStallTimeout = time.Second
+	// originGrace is how much longer than the caller waits the origin of its stream is kept.
+	originGrace = 5 * time.Second
 )
 
 var errStreamStalled = errors.New("the next event of the stream did not arrive in time")
@@ -67,6 +71,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	if s.last > 0 {
+		if refusal := s.bindToOrigin(ctx); refusal != nil {
+			return refusal
+		}
+	}
 	if refusal := j.admit(ctx); refusal != nil {
 		return refusal
 	}
@@ -74,6 +83,36 @@
 	return j.runAttempts(ctx, j.plainRoute(), s.runAttempt)
 }
 
+// bindToOrigin makes the pool and the software version that began a caller's stream the only ones that may continue it.
+func (s *stream) bindToOrigin(ctx context.Context) *refuser.Refusal {
+	j := s.job
+	origin, found := codec.StreamOrigin{}, false
+	if j.config().Origins != nil {
+		origin, found = j.config().Origins.Find(ctx, s.request.Resumes)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return j.refuseContextEnded(ctx)
+	case !found:
+		return j.refuse(refuser.StreamUnknown, shortRetryAfter, "no host that responds knows which software version began stream %q", s.request.Resumes)
+	case !slices.ContainsFunc(j.entry.Route.Pools, func(share codec.WeightedPool) bool { return share.Pool == origin.Pool && share.Weight > 0 }):
+		return j.refuse(refuser.NoUpstream, 0, "the stream began in pool %s, which entry %s does not use any more", origin.Pool, j.entry.Name)
+	}
+	j.pool, j.software = origin.Pool, &origin.Software
+	return nil
+}
+
+// recordOrigin lets other hosts continue the stream if its caller comes to them. Until its deadline, and originGrace longer, the
+// caller may do so.
+func (s *stream) recordOrigin(p placement) {
+	j := s.job
+	if j.config().Origins == nil || !j.idempotent {
+		return
+	}
+	keep := time.Until(latest(j.deadline, s.request.Deadline)) + originGrace
+	j.config().Origins.Record(identifier.StreamID(j.requestID), codec.StreamOrigin{Pool: j.pool, Software: p.upstream.Software}, keep)
+}
+
 // runAttempt runs one attempt. It is cancelled when the next event is late, if the stream may be resumed on another
 // upstream.
 func (s *stream) runAttempt(ctx context.Context, p placement, a *lockedAttempt) error {
@@ -127,6 +166,9 @@
 		return &connector.UpstreamError{Failure: connector.FailureBindingMismatch, Err: errStreamStalled}
 	}
 	s.last = event.Number
+	if event.Number == 1 {
+		s.recordOrigin(p)
+	}
 	s.job.bindSoftware(p)
 	return s.sink.Event(event)
 }
