--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -42,11 +42,16 @@
 	MaxHeader identifier.Bytes
 	// KeepAlive sets the TCP keep-alive probes; the zero value means the defaults of package net.
 	KeepAlive net.KeepAliveConfig
+	// Dial opens connections; nil means a net.Dialer with DialTimeout and KeepAlive.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection, as the method DialContext of net.Dialer does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Exchanger sends HTTP requests to upstreams over connections that it reuses. It never sends a request twice.
 type Exchanger struct {
-	dialer    net.Dialer
+	open      DialFunc
 	shared    *http.Transport
 	singleUse *http.Transport
 }
@@ -62,7 +67,10 @@
 // New returns an exchanger.
 func New(config Config) *Exchanger {
 	config = withDefaults(config)
-	x := &Exchanger{dialer: net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}}
+	x := &Exchanger{open: config.Dial}
+	if x.open == nil {
+		x.open = (&net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}).DialContext
+	}
 	x.shared = x.newTransport(config, false)
 	x.singleUse = x.newTransport(config, true)
 	return x
@@ -99,7 +107,7 @@
 }
 
 func (x *Exchanger) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := x.dialer.DialContext(ctx, network, address)
+	conn, err := x.open(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +122,7 @@
 
 // Probe opens and closes a connection; it returns an error if the upstream accepts none.
 func (x *Exchanger) Probe(ctx context.Context, address string) error {
-	conn, err := x.dialer.DialContext(ctx, "tcp", address)
+	conn, err := x.open(ctx, "tcp", address)
 	if err != nil {
 		return annotator.Wrap("probe upstream", annotator.Peer(address), err)
 	}
