tunneler: connections to upstreams go through other hosts while a host's own links are broken

Cause: a host reached upstreams over its own links only. Each dial failed, the lister took one upstream after the other for lost, and the host refused at once with no_upstream. The class: a fault of one's own path taken for a fault of the other end. Change: the new package tunneler. A dial that fails, or takes over 0.15 s, is repeated through other hosts, over a connection of its own on the peers' listener; hosts that only others reach are dialed both ways at once. A host opens connections to listed upstreams only, over its own links, and says whether it reaches any, so that an upstream that is down costs one question. Frames with an end mark keep a response that ends with its connection from looking complete when the host between fails. Such a connection carries one exchange. A planned stop takes no further ones and waits for the present ones. Requests, retries, streams, items and probes go this way without knowing; orders and reports do not, because an engine takes each host for a holder of its own. Events 4013 and 4014.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -871,6 +871,11 @@
 	Revision int64    `json:"revision"`
 }
 
+// OpenTunnel Asks another host to connect a stream to an upstream.
+type OpenTunnel struct {
+	Address string `json:"address"`
+}
+
 // Order defines model for Order.
 type Order struct {
 	Adapter   string     `json:"adapter,omitempty"`
@@ -1337,6 +1342,15 @@
 	Version WeightVersion `json:"version"`
 }
 
+// TunnelReply defines model for TunnelReply.
+type TunnelReply struct {
+	// Opened The stream is connected to the upstream.
+	Opened bool `json:"opened"`
+
+	// Reaches The sender itself has opened a connection to some upstream lately.
+	Reaches bool `json:"reaches"`
+}
+
 // TurnReply defines model for TurnReply.
 type TurnReply struct {
 	// Limit What a response of an upstream showed about its limit.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -45,6 +45,8 @@
 	TurnsUnavailable      Event = 4010
 	StreamResumed         Event = 4011
 	OriginCallFailed      Event = 4012
+	UpstreamPathLost      Event = 4013
+	UpstreamPathRegained  Event = 4014
 	HostReportedEmpty     Event = 1009
 	SettingsReloaded      Event = 1010
 	LinesDropped          Event = 1011
@@ -116,6 +118,8 @@
 	{TurnsUnavailable, "turns unavailable", "The host that hands out the turns for a limited upstream did not reply, so another host hands them out, at half the rate.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{StreamResumed, "stream resumed", "A stream goes on after the event in the field after, which an earlier attempt, or an earlier request of the caller, brought. The field software is the version of the upstream's software.", "No action is needed."},
 	{OriginCallFailed, "call about the origin of a stream failed", "A host did not confirm the record of which software version began a stream, or a lookup of it; other hosts hold copies.", "No action is needed if this is rare; otherwise check the host in the field peer."},
+	{UpstreamPathLost, "path to upstreams lost", "This host cannot open connections to several upstreams that other hosts reach, so its connections go through other hosts.", "Check this host's network."},
+	{UpstreamPathRegained, "path to upstreams regained", "This host opened a connection to an upstream itself again.", "No action is needed."},
 	{UpstreamUnreadable, "store entry unreadable", "The store's entry of an upstream or of a weight version could not be decoded and is ignored.", "Correct the program that writes the entry."},
 	{PermitOutcomeUnknown, "permit outcome unknown", "The store's response to an operation on permits was lost, so this host does not know whether the operation took effect; it reads the permits back.", "No action is needed."},
 	{ShardTaken, "permit shard taken over", "This host began to grant the permits of a shard.", "No action is needed."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -31,6 +31,7 @@
 	"celerygap.example/service/placer"
 	"celerygap.example/service/prober"
 	"celerygap.example/service/spreader"
+	"celerygap.example/service/tunneler"
 )
 
 const (
@@ -137,8 +138,11 @@
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
 	Platform Platform
-	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show.
-	NewUpstreams func(connector.Observer) Upstreams
+	// DialUpstream opens a connection to an upstream over this host's own links.
+	DialUpstream connector.DialFunc
+	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
+	// of requests with dial, which may go through other hosts.
+	NewUpstreams func(observer connector.Observer, dial connector.DialFunc) Upstreams
 	NewFront     func(Parts) Front
 }
 
@@ -162,6 +166,7 @@
 	placer     *placer.Driver
 	pacer      *pacer.Driver
 	binder     *binder.Driver
+	tunneler   *tunneler.Driver
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -245,7 +250,10 @@
 		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnTurn: func() { h.dispatcher.Recheck() },
 	})
 	h.binder = binder.NewDriver(binder.DriverConfig{Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log})
-	upstreams := h.config.NewUpstreams(observer{h})
+	h.tunneler = tunneler.NewDriver(tunneler.DriverConfig{
+		Members: h.prober, Peers: h.peers, Direct: h.config.DialUpstream, Known: h.isUpstream, Log: h.log,
+	})
+	upstreams := h.config.NewUpstreams(observer{h}, h.tunneler.Dial)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
@@ -260,6 +268,18 @@
 	h.callers = newServer(h.front.Handler())
 }
 
+// isUpstream reports whether an address is that of a usable upstream.
+func (h *Host) isUpstream(address string) bool {
+	for _, pool := range h.catalogue.Current().Pools {
+		for _, upstream := range h.lister.Pool(pool.Name) {
+			if upstream.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // observer passes what responses show to the parts that use it.
 type observer struct{ host *Host }
 
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -244,6 +244,7 @@
 	drainCtx, cancel := context.WithDeadline(ctx, drainEnds)
 	defer cancel()
 	h.front.Drain()
+	h.tunneler.Refuse()
 	waitEnds := time.Now().Add(settings.DrainWait)
 	h.logStep("hand over batch jobs", h.batcher.HandOver(drainCtx))
 	h.logStep("release lease", h.placer.Drain(drainCtx))
@@ -254,6 +255,7 @@
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
 	h.logStep("finish connections", h.callers.Shutdown(drainCtx))
 	h.logStep("finish requests", h.finishRequests(drainCtx))
+	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
 	return nil
 }
 
--- a/service/connector/fleet.go
+++ b/service/connector/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
@@ -35,6 +36,20 @@
 	Handle(method string, handler Handler)
 }
 
+// StreamHandler serves one stream of bytes of another host.
+type StreamHandler func(ctx context.Context, stream net.Conn)
+
+// PeerStreams opens and serves streams of bytes between celerygap hosts, each on a connection of its own.
+type PeerStreams interface {
+	// DialStream opens a stream of a protocol to another host.
+	DialStream(ctx context.Context, to codec.Member, protocol string) (net.Conn, error)
+	// HandleStream registers the handler of a protocol; it must be called before the peer listener starts.
+	HandleStream(protocol string, handler StreamHandler)
+}
+
+// DialFunc opens a connection, as the method DialContext of net.Dialer does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Upstream is one engine or one instance of a plain service.
 type Upstream struct {
 	ID      identifier.UpstreamID
--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -43,15 +43,15 @@
 	// KeepAlive sets the TCP keep-alive probes; the zero value means the defaults of package net.
 	KeepAlive net.KeepAliveConfig
 	// Dial opens connections; nil means a net.Dialer with DialTimeout and KeepAlive.
-	Dial DialFunc
+	Dial connector.DialFunc
 }
 
-// DialFunc opens a connection, as the method DialContext of net.Dialer does.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// OneExchange is implemented by connections that carry one exchange only. They are closed after it.
+type OneExchange interface{ OneExchange() }
 
 // Exchanger sends HTTP requests to upstreams over connections that it reuses. It never sends a request twice.
 type Exchanger struct {
-	open      DialFunc
+	open      connector.DialFunc
 	shared    *http.Transport
 	singleUse *http.Transport
 }
@@ -137,20 +137,36 @@
 	}
 	response, state, err := roundTrip(transport, request, body, options)
 	if err != nil && state.abandon() && state.reused.Load() && request.Context().Err() == nil {
-		// The upstream closed the idle connection before anything was written to it, so a new connection is tried.
+		// The idle connection was closed before anything was written to it, or takes no further exchange, so a new one is tried.
 		response, state, err = roundTrip(x.singleUse, request, body, options)
 	}
 	if err != nil {
 		return nil, classify(request, err, !state.abandon())
 	}
+	if conn := state.conn.Load(); conn != nil && conn.oneExchange() {
+		response.Body = &closingBody{ReadCloser: response.Body, conn: conn}
+	}
 	return response, nil
 }
 
+// closingBody is the body of a response on a connection that carries no further exchange.
+type closingBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+// Close also closes the connection.
+func (b *closingBody) Close() error { return errors.Join(b.ReadCloser.Close(), b.conn.Close()) }
+
 func roundTrip(transport *http.Transport, request *http.Request, body []byte, options Options) (*http.Response, *exchangeState, error) {
 	state := &exchangeState{onSent: options.OnSent}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		state.reused.Store(info.Reused)
 		if conn, ok := info.Conn.(*watchedConn); ok {
+			if info.Reused && conn.oneExchange() {
+				_ = state.abandon()
+			}
+			state.conn.Store(conn)
 			conn.exchange.Store(state)
 			return
 		}
--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -22,6 +22,7 @@
 	phase  atomic.Int32
 	reused atomic.Bool
 	onSent func()
+	conn   atomic.Pointer[watchedConn]
 }
 
 // markSent records that the first byte is about to be written and calls onSent once. It returns errAbandoned if the
@@ -51,6 +52,12 @@
 	exchange atomic.Pointer[exchangeState]
 }
 
+// oneExchange reports whether the connection carries one exchange only.
+func (c *watchedConn) oneExchange() bool {
+	_, ok := c.Conn.(OneExchange)
+	return ok
+}
+
 // Write writes nothing and returns an error if the current exchange was abandoned.
 func (c *watchedConn) Write(data []byte) (int, error) {
 	if current := c.exchange.Load(); current != nil {
--- a/service/peerconnector/frames.go
+++ b/service/peerconnector/frames.go
@@ -63,7 +63,8 @@
 	dials            atomic.Int64
 }
 
-// countingConn counts bytes and sets a deadline for each write, so that a frozen peer cannot block the callers.
+// countingConn counts bytes and sets a deadline for each write, so that a frozen peer cannot block the callers; a writeTimeout of
+// zero sets none.
 type countingConn struct {
 	net.Conn
 	traffic      *counters
@@ -81,7 +82,9 @@
 
 // Write also counts the bytes. After an error it closes the connection, because a partial message cannot be resumed.
 func (c *countingConn) Write(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	if c.writeTimeout > 0 {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	}
 	n, err := c.Conn.Write(p)
 	c.traffic.bytesSent.Add(int64(n))
 	if err != nil {
--- a/service/peerconnector/link.go
+++ b/service/peerconnector/link.go
@@ -154,6 +154,9 @@
 }
 
 func countingConnOf(socket net.Conn) *countingConn {
+	if buffered, ok := socket.(*bufferedConn); ok {
+		socket = buffered.Conn
+	}
 	if secured, ok := socket.(*tls.Conn); ok {
 		return secured.NetConn().(*countingConn)
 	}
--- a/service/peerconnector/peerconnector.go
+++ b/service/peerconnector/peerconnector.go
@@ -65,6 +65,7 @@
 type Connector struct {
 	config   Config
 	handlers map[string]connector.Handler
+	streams  map[string]connector.StreamHandler
 	traffic  counters
 	dials    singleflight.Group
 	base     context.Context
@@ -83,7 +84,10 @@
 // peerKey identifies a peer by its id, or by its address while the id of a configured seed is not known.
 type peerKey string
 
-var _ connector.Peers = (*Connector)(nil)
+var (
+	_ connector.Peers       = (*Connector)(nil)
+	_ connector.PeerStreams = (*Connector)(nil)
+)
 
 // New returns a connector that can call other hosts at once; it serves their calls while Run runs.
 func New(config Config) *Connector {
@@ -92,6 +96,7 @@
 	return &Connector{
 		config:     config,
 		handlers:   make(map[string]connector.Handler),
+		streams:    make(map[string]connector.StreamHandler),
 		base:       base,
 		stop:       stop,
 		background: grouper.NewGroup(-1),
--- a/service/peerconnector/serve.go
+++ b/service/peerconnector/serve.go
@@ -52,20 +52,20 @@
 	return !errors.Is(err, net.ErrClosed)
 }
 
-// serveConn completes the TLS handshake of an accepted connection, if TLS is configured, and registers the connection.
+// serveConn completes the TLS handshake of an accepted connection, if TLS is configured, and serves the connection.
 func (c *Connector) serveConn(ctx context.Context, socket net.Conn) {
 	var conn net.Conn = &countingConn{Conn: socket, traffic: &c.traffic, writeTimeout: c.config.CallTimeout}
 	if c.config.TLS != nil {
 		secured := tls.Server(conn, c.config.TLS)
-		ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
+		handshake, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 		defer cancel()
-		if err := secured.HandshakeContext(ctx); err != nil {
+		if err := secured.HandshakeContext(handshake); err != nil {
 			_ = socket.Close()
 			return
 		}
 		conn = secured
 	}
-	_ = c.addLink(c.newLink(conn, false), "")
+	c.serveAccepted(ctx, conn)
 }
 
 func (c *Connector) sweepLoop(ctx context.Context) {
