follower, spreader: a watch lost in a silent outage of the store does not hide changes after it

Cause: a watch that is sent while the store is silent is never answered, although the store and the connection work again. It waited 25 s and timed out after 26.5 s, so the list of upstreams stood still until then. The host that watches for its region confirmed it meanwhile by short reads. The class: a wait whose limit follows its price, and not the age that the state depending on it may have. Change: a watch waits 3 s, and a failed read of the store ends the watch of the host that confirms its state to others.

--- a/service/follower/follower.go
+++ b/service/follower/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"celerygap.example/lib/codec"
@@ -12,8 +13,9 @@
 )
 
 const (
-	// DefaultWait is how long a watch waits for changes; it is long because each call to the store is paid for.
-	DefaultWait = 25 * time.Second
+	// DefaultWait is how long a watch waits for changes. A watch whose request was lost looks like one without changes until it
+	// times out, so it bounds the age of the state. Each call to the store is paid for, so it is no shorter.
+	DefaultWait = 3 * time.Second
 	// initialBackoff and maxBackoff bound the backoff after a failed call, which doubles with each failure in a row; the
 	// pause is a random time between half the backoff and the backoff. A host must learn of changes within about a second
 	// of the store's recovery.
@@ -55,6 +57,10 @@
 	listed   bool // whether the mirror holds a complete list, from which a watch can continue
 	outage   bool // whether the last call failed
 	backoff  time.Duration
+
+	mu sync.Mutex
+	// stopCall ends the call in progress; nil between calls.
+	stopCall context.CancelFunc
 }
 
 // New returns a follower that knows no objects until Run has listed them.
@@ -82,8 +88,33 @@
 	return nil
 }
 
+// Suspect ends the call in progress, because another call has shown that the store may not answer it. The kind is listed again.
+func (f *Follower) Suspect() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopCall != nil {
+		f.stopCall()
+	}
+}
+
+// stoppableCall returns the context of a call, which Suspect ends.
+func (f *Follower) stoppableCall(ctx context.Context) (call context.Context, end func()) {
+	call, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopCall = cancel
+	return call, func() {
+		f.mu.Lock()
+		f.stopCall = nil
+		f.mu.Unlock()
+		cancel()
+	}
+}
+
 // advance makes one call: a list at first, after a failed call and after compacted history, otherwise a watch.
 func (f *Follower) advance(ctx context.Context) error {
+	ctx, end := f.stoppableCall(ctx)
+	defer end()
 	if !f.listed {
 		list, err := f.config.Store.List(ctx, f.config.Prefix)
 		if err != nil {
--- a/service/spreader/driver.go
+++ b/service/spreader/driver.go
@@ -95,7 +95,7 @@
 	defer stopRoles()
 	confirms, stopConfirms := d.config.Timer.Subscribe(confirmInterval)
 	defer stopConfirms()
-	stopFollowing := func() {}
+	stopFollowing, suspect := func() {}, func() {}
 	defer func() { stopFollowing() }()
 	following := false
 	for {
@@ -104,7 +104,7 @@
 			d.config.Log.Info(logger.StoreWatchChanged).Str("kind", d.config.Follower.Prefix).Bool("follow", role.Follow).
 				Int("audience", len(role.Recipients)).Send()
 			stopFollowing()
-			stopFollowing = d.follow(ctx, role.Follow)
+			stopFollowing, suspect = d.follow(ctx, role.Follow)
 			following = role.Follow
 		}
 		select {
@@ -117,15 +117,18 @@
 			d.reportDown(ctx, role.Recipients)
 		case <-confirms:
 			if role.Follow && len(role.Recipients) > 0 {
-				d.confirm(ctx, role.Recipients)
+				d.confirm(ctx, role.Recipients, suspect)
 			}
 		}
 	}
 }
 
-// confirm compares the state with the store and passes the result on: the state, or that the store cannot be reached.
-func (d *Driver) confirm(ctx context.Context, recipients []codec.Member) {
+// confirm compares the state with the store and passes the result on: the state, or that the store cannot be reached. In that case
+// the store may never answer the watch in progress either, so suspect ends it: otherwise the state would be confirmed again once
+// the store responds, although the watch brings no changes.
+func (d *Driver) confirm(ctx context.Context, recipients []codec.Member, suspect func()) {
 	if !d.storeResponds(ctx) {
+		suspect()
 		d.reportDown(ctx, recipients)
 		return
 	}
@@ -192,9 +195,10 @@
 	return d.machine.Push(time.Now(), request.Known), nil
 }
 
-func (d *Driver) follow(ctx context.Context, wanted bool) (stop func()) {
+// follow starts a follower if this host's role wants one; stop ends it, and suspect makes it list the kind again.
+func (d *Driver) follow(ctx context.Context, wanted bool) (stop, suspect func()) {
 	if !wanted {
-		return func() {}
+		return func() {}, func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	config := d.config.Follower
@@ -208,8 +212,9 @@
 			d.requestPush()
 		}
 	}
-	d.work.Go(func() { _ = follower.New(config).Run(ctx) })
-	return cancel
+	f := follower.New(config)
+	d.work.Go(func() { _ = f.Run(ctx) })
+	return cancel, f.Suspect
 }
 
 // forward requests a push to the recipients of this host's role, if any, when a state or a confirmation is new; the mutex must
