placer: a holder without a path to the engines hands the lease for orders over

Orders cannot go through other hosts, because an engine takes each host for a holder of its own. TestHolderThatCannotReachTheEnginesHandsTheLeaseOver failed without the substitute.

--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -147,7 +147,7 @@
 	{OrderFailed, "order failed", "An engine did not execute an order.", "Check the engine if this is repeated."},
 	{OrderGiven, "order given", "An engine accepted an order to load weights, or has them already.", "No action is needed."},
 	{LeaseAcquired, "lease acquired", "This host acquired a lease and may send the orders that the lease covers.", "No action is needed."},
-	{LeaseHandedOver, "lease handed over", "This host cannot reach the store, so it requested that another host hold the lease as the stand-in holder. A line with an error means that the request failed.", "Check this host's network path to the store."},
+	{LeaseHandedOver, "lease handed over", "This host cannot reach the store or the engines, so it requested that another host hold the lease as the stand-in holder. A line with an error means that the request failed.", "Check this host's network path to the store."},
 	{LeaseLost, "lease lost", "This host no longer holds a lease, so it sends no further orders under it.", "No action is needed if this is rare; otherwise check this host's network path to the store."},
 	{SnapshotOverdue, "snapshot overdue", "No new snapshot for the screens arrived in time; the screens show the age of the last one.", "Check the host in the field builder, which builds the snapshots."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host now builds the snapshots for the screens.", "No action is needed."},
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -59,6 +59,7 @@
 	h.placer = placer.NewDriver(placer.DriverConfig{
 		Store: h.config.Store, Orders: upstreams.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions, Settled: h.settled,
+		Substitute: h.tunneler.Substitute, CheckPath: h.checkPath,
 	})
 }
 
@@ -76,6 +77,14 @@
 	})
 }
 
+// checkPath opens a connection to an upstream, through other hosts if it must, so that the tunneler learns whether only this
+// host's path is broken.
+func (h *Host) checkPath(ctx context.Context, upstream connector.Upstream) {
+	if conn, err := h.tunneler.Dial(ctx, "tcp", upstream.Address); err == nil {
+		_ = conn.Close()
+	}
+}
+
 // newRetirer returns the retirer, which is active on one host of the fleet.
 func (h *Host) newRetirer() *retirer.Retirer {
 	platform := h.config.Platform
--- a/service/placer/driver.go
+++ b/service/placer/driver.go
@@ -54,6 +54,11 @@
 	// FollowVersions runs while this host should hold the lease and passes each announced version to announced.
 	// It calls listed once all versions announced so far have been passed.
 	FollowVersions func(ctx context.Context, announced func(identifier.ModelName, identifier.WeightVersion), listed func())
+	// Substitute returns a host that reaches the engines while this one does not, so that it holds the lease instead; nil means
+	// that this host always reaches them.
+	Substitute func() (host identifier.HostID, ok bool)
+	// CheckPath is called for an engine to which no connection could be opened, so that Substitute knows about it; it may be nil.
+	CheckPath func(ctx context.Context, upstream connector.Upstream)
 }
 
 // Driver acquires the lease, feeds events to a Placer and sends its loads to the engines while it holds the lease.
@@ -212,6 +217,12 @@
 
 // advance updates the lease, applies the queued events and starts the loads that are due.
 func (d *Driver) advance(ctx context.Context, wanted bool) {
+	if d.held && d.config.Substitute != nil {
+		if host, ok := d.config.Substitute(); ok {
+			d.handOverTo(ctx, host)
+			wanted = wanted && !d.handedOver()
+		}
+	}
 	d.handleLease(ctx, updater.LeaseWanted{Wanted: wanted, InFlight: d.inFlight})
 	if !d.leaseTimer.IsZero() && !d.leaseTimer.After(time.Now()) {
 		d.leaseTimer = time.Time{}
@@ -319,7 +330,11 @@
 func (d *Driver) state(ctx context.Context, upstream connector.Upstream) (connector.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return d.config.Orders.State(ctx, upstream)
+	state, err := d.config.Orders.State(ctx, upstream)
+	if err != nil && d.config.CheckPath != nil && connector.FailureOf(err) == connector.FailureConnectFailed {
+		d.config.CheckPath(ctx, upstream)
+	}
+	return state, err
 }
 
 // awaitVersion polls an engine until it serves the ordered version and returns the version served, or zero after
--- a/service/placer/driver_test.go
+++ b/service/placer/driver_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,23 +142,47 @@
 	}
 }
 
+// hostOrders is one host's path to the engines, which may be cut.
+type hostOrders struct {
+	*orders
+	cut     atomic.Bool
+	checked atomic.Int64
+}
+
+func (o *hostOrders) State(ctx context.Context, upstream connector.Upstream) (connector.EngineState, error) {
+	if o.cut.Load() {
+		return connector.EngineState{}, &connector.UpstreamError{Failure: connector.FailureConnectFailed, Err: errors.New("cut")}
+	}
+	return o.orders.State(ctx, upstream)
+}
+
+// substitute returns host c once two orders of a cut host have found no connection.
+func (o *hostOrders) substitute() (identifier.HostID, bool) {
+	return "c", o.cut.Load() && o.checked.Load() >= 2
+}
+
 // cluster is three hosts with one store, one set of engines and one trainer.
 type cluster struct {
 	t       *testing.T
+	paths   map[identifier.HostID]*hostOrders
 	links   map[identifier.HostID]*link
 	orders  *orders
 	trainer *trainer
 }
 
 func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, links: make(map[identifier.HostID]*link), orders: &orders{version: 1}, trainer: &trainer{version: 1}}
+	c := &cluster{t: t, paths: make(map[identifier.HostID]*hostOrders), links: make(map[identifier.HostID]*link), orders: &orders{version: 1}, trainer: &trainer{version: 1}}
 	shared := storekeeper.New()
 	peers := &network{handlers: make(map[identifier.HostID]connector.Handler)}
 	for _, id := range []identifier.HostID{"a", "b", "c"} {
 		c.links[id] = &link{Store: shared}
+		path := &hostOrders{orders: c.orders}
+		c.paths[id] = path
 		service := timer.New(timer.Config{Resolution: time.Millisecond})
 		d := placer.NewDriver(placer.DriverConfig{
-			Store: c.links[id], Orders: c.orders, Members: endpoint{peers, id}, Peers: endpoint{peers, id}, Fenced: true, Timer: service,
+			Store: c.links[id], Orders: path, Substitute: path.substitute,
+			CheckPath: func(context.Context, connector.Upstream) { path.checked.Add(1) },
+			Members:   endpoint{peers, id}, Peers: endpoint{peers, id}, Fenced: true, Timer: service,
 			Log: logger.Discard(), LeaseDuration: 3 * time.Second, FollowVersions: c.trainer.follow,
 		})
 		d.Handle(placer.PoolsChanged{Pools: []codec.Pool{{Name: pool, Models: []identifier.ModelName{"m0"}}}})
@@ -194,6 +219,21 @@
 	require.NotEqual(t, holder, c.await(3, 3*time.Second))
 }
 
+// Guards against engines that get no orders while only the holder of the lease cannot reach them, and against two holders that
+// take turns once it can again.
+func TestHolderThatCannotReachTheEnginesHandsTheLeaseOver(t *testing.T) {
+	c := newCluster(t)
+	holder := c.await(2, 5*time.Second)
+	require.NotEqual(t, identifier.HostID("c"), holder, "the host that stands in is another one")
+	c.paths[holder].cut.Store(true)
+	require.Equal(t, identifier.HostID("c"), c.await(3, 5*time.Second))
+	c.paths[holder].cut.Store(false)
+	for version := identifier.WeightVersion(4); version < 8; version++ {
+		require.Equal(t, identifier.HostID("c"), c.await(version, 3*time.Second))
+		time.Sleep(time.Second)
+	}
+}
+
 // Guards against a store outage for all hosts after which no host tries to acquire the lease, because each has handed it
 // over to another one: in an incident, orders resumed only 4.7 s after the store's return.
 func TestOneHostKeepsRetryingInAnOutage(t *testing.T) {
--- a/service/placer/standin.go
+++ b/service/placer/standin.go
@@ -16,7 +16,7 @@
 	"celerygap.example/service/updater"
 )
 
-// methodStandIn requests that another host holds the lease in place of this one, which cannot reach the store.
+// methodStandIn requests that another host holds the lease in place of this one, which cannot reach the store or the engines.
 const methodStandIn = "orders_stand_in"
 
 const (
@@ -110,10 +110,20 @@
 		return
 	}
 	d.failures = 0
-	next, ok := d.candidate(d.config.Members.Self().ID)
-	if !ok {
-		return
+	if next, ok := d.candidate(d.config.Members.Self().ID); ok {
+		d.yield(ctx, next)
+	}
+}
+
+// handOverTo hands over the lease to a host that reaches the engines, which this one does not.
+func (d *Driver) handOverTo(ctx context.Context, host identifier.HostID) {
+	if next, ok := elector.Find(host, d.config.Members.Live()); ok && !d.handedOver() {
+		d.yield(ctx, next)
 	}
+}
+
+// yield requests that next holds the lease in place of this host.
+func (d *Driver) yield(ctx context.Context, next codec.Member) {
 	// This host sends no more orders under the lease; those already sent carry its fencing token.
 	fencing := d.lease.Grant().Fencing
 	d.mu.Lock()
--- a/service/tunneler/driver.go
+++ b/service/tunneler/driver.go
@@ -178,6 +178,13 @@
 	d.discard(direct, record)
 }
 
+// Substitute returns a host that reaches the upstreams while this one does not; ok is false while this one does.
+func (d *Driver) Substitute() (host identifier.HostID, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.relay, d.relay != "" && d.paths.Lost(time.Now())
+}
+
 func (d *Driver) hedgeDelay(address string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/service/tunneler/paths.go
+++ b/service/tunneler/paths.go
@@ -89,12 +89,15 @@
 
 // HedgeDelay returns how long a direct dial of an address may take before other hosts are asked as well; zero means at once.
 func (p *Paths) HedgeDelay(now time.Time, address string) time.Duration {
-	if seen, ok := p.cut[address]; ok && now.Sub(seen) <= cutMemory || p.cutSinceDirect(now) >= minCutAddresses {
+	if seen, ok := p.cut[address]; ok && now.Sub(seen) <= cutMemory || p.Lost(now) {
 		return 0
 	}
 	return hedgeDelay
 }
 
+// Lost reports whether only other hosts have reached several addresses lately.
+func (p *Paths) Lost(now time.Time) bool { return p.cutSinceDirect(now) >= minCutAddresses }
+
 // Reaches reports whether this host has opened a connection itself lately.
 func (p *Paths) Reaches(now time.Time) bool {
 	return !p.lastDirect.IsZero() && now.Sub(p.lastDirect) <= reachMemory
