tunneler, exchanger: a connection through another host is never kept idle there

Cause: TestExchangesThroughOtherHostsUseAConnectionEach hung once in four runs: the HTTP client had opened a connection through another host for a request that then found another one, and kept it idle, so that the other host would have waited for it in a planned stop. Also, a dial of a silent upstream could take 0.55 s, longer than a probe may, so that its crash would not have counted as one. Change: a connection is claimed for its one exchange, and closed if nobody claims it within a second; requests to addresses that only other hosts reach use connections that are not pooled. Other hosts get 0.3 s for a connection, so that a silent upstream costs hardly more than before (TestSilentUpstreamIsGivenUpSoon).

--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -141,8 +141,8 @@
 	// DialUpstream opens a connection to an upstream over this host's own links.
 	DialUpstream connector.DialFunc
 	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
-	// of requests with dial, which may go through other hosts.
-	NewUpstreams func(observer connector.Observer, dial connector.DialFunc) Upstreams
+	// of requests in network.
+	NewUpstreams func(observer connector.Observer, network connector.Network) Upstreams
 	NewFront     func(Parts) Front
 }
 
@@ -253,7 +253,7 @@
 	h.tunneler = tunneler.NewDriver(tunneler.DriverConfig{
 		Members: h.prober, Peers: h.peers, Direct: h.config.DialUpstream, Known: h.isUpstream, Log: h.log,
 	})
-	upstreams := h.config.NewUpstreams(observer{h}, h.tunneler.Dial)
+	upstreams := h.config.NewUpstreams(observer{h}, h.tunneler)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
--- a/service/assembler/assembler_test.go
+++ b/service/assembler/assembler_test.go
@@ -67,7 +67,7 @@
 				return "", 0, nil
 			},
 		},
-		NewUpstreams: func(connector.Observer, connector.DialFunc) assembler.Upstreams {
+		NewUpstreams: func(connector.Observer, connector.Network) assembler.Upstreams {
 			return assembler.Upstreams{}
 		},
 		NewFront: func(assembler.Parts) assembler.Front { return front },
--- a/service/connector/fleet.go
+++ b/service/connector/fleet.go
@@ -47,6 +47,14 @@
 	HandleStream(protocol string, handler StreamHandler)
 }
 
+// Network opens connections to upstreams, through other hosts if it must.
+type Network interface {
+	// Dial opens a connection, as the method DialContext of net.Dialer does.
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// Relays reports whether connections to an address go through other hosts at present.
+	Relays(address string) bool
+}
+
 // DialFunc opens a connection, as the method DialContext of net.Dialer does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -44,14 +44,20 @@
 	KeepAlive net.KeepAliveConfig
 	// Dial opens connections; nil means a net.Dialer with DialTimeout and KeepAlive.
 	Dial connector.DialFunc
+	// Relays reports whether the connections to an address carry one exchange only, so that none is kept for later; nil means no.
+	Relays func(address string) bool
 }
 
 // OneExchange is implemented by connections that carry one exchange only. They are closed after it.
-type OneExchange interface{ OneExchange() }
+type OneExchange interface {
+	// Claim reserves the connection for an exchange. It is an error if there was one, or if the connection waited too long for it.
+	Claim() error
+}
 
 // Exchanger sends HTTP requests to upstreams over connections that it reuses. It never sends a request twice.
 type Exchanger struct {
 	open      connector.DialFunc
+	relays    func(address string) bool
 	shared    *http.Transport
 	singleUse *http.Transport
 }
@@ -67,7 +73,7 @@
 // New returns an exchanger.
 func New(config Config) *Exchanger {
 	config = withDefaults(config)
-	x := &Exchanger{open: config.Dial}
+	x := &Exchanger{open: config.Dial, relays: config.Relays}
 	if x.open == nil {
 		x.open = (&net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}).DialContext
 	}
@@ -132,7 +138,7 @@
 // Do sends the request with the given body and returns the response; its errors are *connector.UpstreamError.
 func (x *Exchanger) Do(request *http.Request, body []byte, options Options) (*http.Response, error) {
 	transport := x.shared
-	if options.SingleUse {
+	if options.SingleUse || x.relays != nil && x.relays(request.URL.Host) {
 		transport = x.singleUse
 	}
 	response, state, err := roundTrip(transport, request, body, options)
@@ -163,8 +169,8 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		state.reused.Store(info.Reused)
 		if conn, ok := info.Conn.(*watchedConn); ok {
-			if info.Reused && conn.oneExchange() {
-				_ = state.abandon()
+			if conn.claim() != nil && state.abandon() {
+				state.reused.Store(true)
 			}
 			state.conn.Store(conn)
 			conn.exchange.Store(state)
--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -52,6 +52,14 @@
 	exchange atomic.Pointer[exchangeState]
 }
 
+// claim reserves the connection for an exchange, if it carries one only.
+func (c *watchedConn) claim() error {
+	if conn, ok := c.Conn.(OneExchange); ok {
+		return conn.Claim()
+	}
+	return nil
+}
+
 // oneExchange reports whether the connection carries one exchange only.
 func (c *watchedConn) oneExchange() bool {
 	_, ok := c.Conn.(OneExchange)
--- a/service/tunneler/driver.go
+++ b/service/tunneler/driver.go
@@ -24,8 +24,9 @@
 	// protocol names the streams of this package.
 	protocol = "tunnel"
 	// relayTimeout bounds the opening of a connection through other hosts; relayDialTimeout is what the other host may use of it.
-	relayTimeout     = 400 * time.Millisecond
-	relayDialTimeout = 250 * time.Millisecond
+	// With hedgeDelay before it, an upstream that is down costs hardly more time than the direct dial alone.
+	relayTimeout     = 300 * time.Millisecond
+	relayDialTimeout = 200 * time.Millisecond
 	// nextRelayDelay is how long one host may take to reply before the next one is asked as well.
 	nextRelayDelay = 60 * time.Millisecond
 	// maxRelays bounds the hosts that are asked for one connection.
@@ -85,6 +86,8 @@
 	return d
 }
 
+var _ connector.Network = (*Driver)(nil)
+
 // opened is the outcome of a dial.
 type opened struct {
 	conn net.Conn
@@ -185,6 +188,9 @@
 	return d.relay, d.relay != "" && d.paths.Lost(time.Now())
 }
 
+// Relays reports whether connections to an address go through other hosts at present.
+func (d *Driver) Relays(address string) bool { return d.hedgeDelay(address) == 0 }
+
 func (d *Driver) hedgeDelay(address string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -328,7 +334,7 @@
 		_ = conn.Close()
 		return nil, reply, annotator.Wrap("request tunnel", annotator.Peer(member.ID), err)
 	}
-	return &tunnelConn{Conn: conn, reader: reader}, reply, nil
+	return newTunnelConn(conn, reader), reply, nil
 }
 
 func writeMessage(conn net.Conn, message any) error {
--- a/service/tunneler/stream.go
+++ b/service/tunneler/stream.go
@@ -7,10 +7,17 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
+	"time"
 )
 
-// maxFrame is the size in bytes of the largest frame.
-const maxFrame = 16 << 10
+const (
+	// maxFrame is the size in bytes of the largest frame.
+	maxFrame = 16 << 10
+	// unusedTimeout is how long a connection may wait for its exchange. An HTTP client may keep a connection that it has opened
+	// for a request which then found another one.
+	unusedTimeout = time.Second
+)
 
 // tunnelConn is a connection to an upstream through another host. That host sends the upstream's bytes in frames, each a varint
 // length and the bytes, and an empty frame at the end of the upstream's bytes. A stream that ends without it was broken off, so
@@ -21,10 +28,31 @@
 	// left is the number of bytes of the current frame that have not been read.
 	left  uint64
 	ended bool
+	// claimed is set by the first Claim, or when the connection was closed unused; unused closes it then.
+	claimed atomic.Bool
+	unused  *time.Timer
 }
 
-// OneExchange marks the connection for the exchanger, so that the other host holds no idle connections for this one.
-func (*tunnelConn) OneExchange() {}
+var errClaimed = errors.New("the connection carries another exchange or was closed unused")
+
+func newTunnelConn(conn net.Conn, reader *bufio.Reader) *tunnelConn {
+	c := &tunnelConn{Conn: conn, reader: reader}
+	c.unused = time.AfterFunc(unusedTimeout, func() {
+		if c.claimed.CompareAndSwap(false, true) {
+			_ = conn.Close()
+		}
+	})
+	return c
+}
+
+// Claim reserves the connection for one exchange, so that the other host holds no idle connections for this one.
+func (c *tunnelConn) Claim() error {
+	if !c.claimed.CompareAndSwap(false, true) {
+		return errClaimed
+	}
+	c.unused.Stop()
+	return nil
+}
 
 // Read returns io.EOF only if the upstream ended the connection.
 func (c *tunnelConn) Read(p []byte) (int, error) {
--- a/service/tunneler/tunneler_test.go
+++ b/service/tunneler/tunneler_test.go
@@ -248,6 +248,18 @@
 	require.EqualValues(t, 1, asked, "a host that reaches other upstreams is believed")
 }
 
+// Guards against an upstream that has gone silent and costs a request much more time than the direct dial alone takes.
+func TestSilentUpstreamIsGivenUpSoon(t *testing.T) {
+	hosts := newHosts(t, 4, nil)
+	for _, h := range hosts {
+		h.hang.Store(true)
+	}
+	started := time.Now()
+	_, err := hosts[0].Dial(t.Context(), "tcp", newUpstream(t, 1, 0, false))
+	require.Error(t, err)
+	require.Less(t, time.Since(started), 500*time.Millisecond)
+}
+
 // Guards against hosts that pass requests for connections in a circle, that open connections to any address, or that take
 // further ones during a planned stop, which then interrupts them.
 func TestOtherHostsOpenConnectionsToUpstreamsOnly(t *testing.T) {
@@ -351,7 +363,9 @@
 	for text, count := range received {
 		require.Equal(t, 1, count, text)
 	}
-	require.NoError(t, hosts[1].Wait(t.Context()), "no idle connection is left")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	require.NoError(t, hosts[1].Wait(ctx), "no idle connection is left")
 }
 
 // Guards against other hosts that are asked at once for an address of a sound path, or late for those of a broken one.
