--- a/service/peerconnector/doc.go
+++ b/service/peerconnector/doc.go
@@ -1,2 +1,3 @@
-// Package peerconnector carries JSON-RPC 2.0 calls between celerygap hosts over TCP.
+// Package peerconnector carries JSON-RPC 2.0 calls between celerygap hosts over TCP, and streams of bytes on connections of their
+// own.
 package peerconnector
