authorizer, translator, batcher: API keys, and batch jobs that belong to customers

Cause: configurations with customers were decoded, but no request was checked: keys and forged customer names went on to engines, and every caller could read and end every batch job. Change: the new package authorizer decides, from the routes and customers of one revision, which customer a request belongs to. The front refuses what needs a key, removes keys and customer names from all that it passes on or stores, and names the customer to the upstream. Jobs and their heads name their customer, which is checked before any use; the first part of a job is consulted where a build without customers has written the head. Hosts that watch the store themselves have their configuration confirmed as well where keys are required, so that an unknown key is refused for good only by a current configuration.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1352,6 +1352,9 @@
 type SubmitReply struct {
 	Accepted bool `json:"accepted"`
 
+	// IDTaken The id denotes a job of another customer.
+	IDTaken bool `json:"id_taken,omitempty"`
+
 	// Uncertain The job may have been stored although it was not accepted.
 	Uncertain bool `json:"uncertain,omitempty"`
 }
--- a/lib/identifier/identifier.go
+++ b/lib/identifier/identifier.go
@@ -90,3 +90,9 @@
 
 // Std returns the duration as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns a placeholder, so that no key is formatted into a log line or an error.
+func (APIKey) String() string { return "(key)" }
+
+// GoString returns the same placeholder as String.
+func (APIKey) GoString() string { return "(key)" }
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -73,6 +73,7 @@
 	ResultsNotListed      Event = 6114
 	TextsNotSaved         Event = 6115
 	ItemTextRestarted     Event = 6117
+	JobOfOtherCustomer    Event = 6120
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
 	OrderGiven            Event = 7004
@@ -129,6 +130,7 @@
 	{WeightsAnnounced, "weights announced", "A new weight version was announced.", "No action is needed."},
 	{JobOpened, "batch job opened", "This host owns a batch job and runs its items.", "No action is needed."},
 	{JobRefused, "batch job refused", "A batch job could not be stored, or it is unknown whether it was stored. The submitter must submit it again.", "Check the platform's store."},
+	{JobOfOtherCustomer, "batch job of another customer", "A customer asked for a batch job that belongs to another one, and was told that there is no such job. The line names both.", "No action is needed if this is rare; otherwise ask the customer in the field customer where it got the id."},
 	{JobEnded, "batch job ended", "The submitter ended a batch job. A line with an error means that the end is not stored yet and the write is retried.", "No action is needed."},
 	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -36,6 +36,7 @@
 	{"celerygap_invariant_checks", "checks", []string{"invariant"}, "Checks of the program on itself."},
 	{"celerygap_invariant_failures", "checks", []string{"invariant"}, "Failed checks of the program on itself."},
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
+	{"celerygap_key_checks", "requests", []string{"outcome"}, "Requests by the result of the check of their key, where keys are required."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
 	{"celerygap_peer_bytes", "bytes", []string{"direction"}, "Bytes exchanged with other hosts of the service."},
@@ -52,6 +53,7 @@
 	delivered metric.Int64Counter
 	staleness metric.Float64Histogram
 	wait      metric.Float64Counter
+	keys      metric.Int64Counter
 	store     metric.Int64Counter
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
@@ -80,6 +82,7 @@
 	m.duration = b.histogram("celerygap_request_duration")
 	m.delivered = b.counter("celerygap_samples_delivered")
 	m.staleness = b.histogram("celerygap_sample_staleness")
+	m.keys = b.counter("celerygap_key_checks")
 	m.store = b.counter("celerygap_store_calls")
 	m.peer = b.counter("celerygap_peer_calls")
 	m.bytes = b.counter("celerygap_peer_bytes")
@@ -131,6 +134,11 @@
 	m.wait.Add(context.Background(), seconds, metric.WithAttributes(attribute.String("trainer", trainer)))
 }
 
+// KeyChecked counts a check of a key by its outcome.
+func (m *Meter) KeyChecked(outcome string) {
+	m.keys.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // StoreCalled counts a call to the platform's store.
 func (m *Meter) StoreCalled(operation, result string) {
 	m.store.Add(context.Background(), 1, metric.WithAttributes(
--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -12,6 +12,9 @@
 const (
 	UnknownEntry           Reason = "unknown_entry"
 	InvalidRequest         Reason = "invalid_request"
+	Unauthenticated        Reason = "unauthenticated"
+	KeyUnconfirmed         Reason = "key_unconfirmed"
+	JobIDTaken             Reason = "job_id_taken"
 	BodyTooLarge           Reason = "body_too_large"
 	HeaderTooLarge         Reason = "header_too_large"
 	RateLimited            Reason = "rate_limited"
@@ -73,6 +76,9 @@
 var Catalogue = []Entry{
 	{UnknownEntry, http.StatusNotFound, "The catalogue has no entry of that name and kind."},
 	{InvalidRequest, http.StatusBadRequest, "The request is malformed; the detail names the field."},
+	{Unauthenticated, http.StatusUnauthorized, "The request needs the key of a customer, and has none, more than one, or one that is not known."},
+	{KeyUnconfirmed, http.StatusServiceUnavailable, "The key cannot be checked, because the host does not know whether its configuration is current."},
+	{JobIDTaken, http.StatusConflict, "The id of the batch job is already in use."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, "The body exceeds the entry's limit."},
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, "The header exceeds the configured limit."},
 	{RateLimited, http.StatusTooManyRequests, "The entry's request rate is used up."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -19,13 +20,13 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
+	"celerygap.example/service/authorizer"
 	"celerygap.example/service/batcher"
 	"celerygap.example/service/binder"
 	"celerygap.example/service/cataloguer"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/dispatcher"
 	"celerygap.example/service/lister"
-	"celerygap.example/service/matcher"
 	"celerygap.example/service/pacer"
 	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/placer"
@@ -115,14 +116,18 @@
 
 // Parts are the parts of the host that a Front uses.
 type Parts struct {
-	// Match finds the entry of a request; known is false while the host has no catalogue.
-	Match     func(host, path string) (entry codec.Entry, found, known bool)
-	Plain     connector.PlainCaller
-	Streams   connector.StreamCaller
-	Batches   connector.Batches
-	Catalogue connector.Catalogue
-	Ready     func() bool
-	Log       *logger.Logger
+	// Match finds the entry of a request, and returns the customers of the same revision of the catalogue; keys is nil while the
+	// host has no catalogue.
+	Match func(host, path string) (entry codec.Entry, found bool, keys *authorizer.Authorizer)
+	// ConfirmedAt returns when the configuration was last confirmed as current; zero means never.
+	ConfirmedAt func() time.Time
+	Plain       connector.PlainCaller
+	Streams     connector.StreamCaller
+	Batches     connector.Batches
+	Catalogue   connector.Catalogue
+	Ready       func() bool
+	Log         *logger.Logger
+	Meter       *meter.Meter
 }
 
 // Platform names the objects that the platform stores and decodes them.
@@ -176,7 +181,7 @@
 	callers   *http.Server
 
 	catalogue  *cataloguer.Cataloguer
-	matcher    atomic.Pointer[matcher.Matcher]
+	rules      atomic.Pointer[rules]
 	lister     *lister.Driver
 	peers      *peerconnector.Connector
 	prober     *prober.Driver
@@ -189,6 +194,8 @@
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
+	// keySecret is the secret of the lookup of keys.
+	keySecret authorizer.Secret
 	// decoded holds the decoded entries of the upstreams by key: there may be thousands, and a change of one entry must not
 	// decode all of them again.
 	decoded map[string]decodedEntry
@@ -201,6 +208,9 @@
 // New listens on the configured addresses and builds the parts; nothing runs before Run.
 func New(config Config) (*Host, error) {
 	h := &Host{config: config, timer: timer.New(timer.Config{}), startedAt: time.Now()}
+	if _, err := cryptorand.Read(h.keySecret[:]); err != nil {
+		return nil, annotator.Wrap("make secret for keys", "self", err)
+	}
 	h.log = config.Log.With("host", string(config.Settings.HostID))
 	if err := h.listen(); err != nil {
 		h.closeListeners()
@@ -282,7 +292,8 @@
 	h.buildBatcherAndPlacer(upstreams)
 	h.buildSpreaders()
 	h.front = h.config.NewFront(Parts{
-		Match: h.match, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher, Catalogue: h.catalogue, Ready: h.ready, Log: h.log,
+		Match: h.matchWithKeys, ConfirmedAt: h.configuration.ConfirmedAt, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher,
+		Catalogue: h.catalogue, Ready: h.ready, Log: h.log, Meter: h.config.Meter,
 	})
 	h.callers = newServer(h.front.Handler())
 }
@@ -338,31 +349,6 @@
 	return age >= maxSettleTime || age >= minSettleTime && h.prober.Joined()
 }
 
-// match finds the entry of a request in the catalogue in effect; known is false while there is no catalogue.
-func (h *Host) match(host, path string) (entry codec.Entry, found, known bool) {
-	m := h.currentMatcher()
-	if m == nil {
-		return codec.Entry{}, false, false
-	}
-	entry, found = m.Match(host, path)
-	return entry, found, true
-}
-
-// currentMatcher returns the matcher of the catalogue in effect, or nil without one. The first request after a change of
-// the catalogue builds the matcher; concurrent requests may each build one.
-func (h *Host) currentMatcher() *matcher.Matcher {
-	catalogue := h.catalogue.Current()
-	if catalogue.Revision == 0 {
-		return nil
-	}
-	m := h.matcher.Load()
-	if m == nil || m.Revision() != catalogue.Revision {
-		m = matcher.New(catalogue)
-		h.matcher.Store(m)
-	}
-	return m
-}
-
 // Run serves until stop ends, then drains and returns. If a duty fails, Run returns its error.
 func (h *Host) Run(stop context.Context) error {
 	restore := asserter.SetHandler(func(name asserter.Invariant, detail string) {
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -49,11 +49,7 @@
 	h.batcher = batcher.NewDriver(batcher.DriverConfig{
 		Self: h.prober.Self(), Incarnation: identifier.Incarnation(h.timer.Now().UnixMilli()), Keeper: batchkeeper.New(h.relayedStore()),
 		Runner: upstreams.Runner, Rewards: h.dispatcher, MakeReward: h.config.Platform.MakeReward, Score: h.config.Platform.Score,
-		Match: func(host, path string) (codec.Entry, bool) {
-			entry, found, _ := h.match(host, path)
-			return entry, found
-		},
-		Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
+		Match: h.match, Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults, Settled: h.settled, FirstStart: settings.FirstStart,
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
@@ -68,6 +64,7 @@
 	h.configuration = spreader.NewDriver(spreader.DriverConfig{
 		Follower: follower.Config{Store: h.config.Store, Prefix: h.config.Platform.ConfigurationKind, Log: h.log},
 		Members:  h.prober, Peers: h.peers, Settled: h.settled, Timer: h.timer, Log: h.log, OnUpdate: h.applyConfiguration,
+		ConfirmAlways: h.keysRequired,
 	})
 	h.upstreams = spreader.NewDriver(spreader.DriverConfig{
 		Follower: follower.Config{
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -344,6 +344,8 @@
 	if err != nil {
 		return err
 	}
+	// A build without customers leaves the customer out of the heads that it writes.
+	head.Customer = job.Customer
 	initial := initialState{progress: reason.progress}
 	if initial.results, initial.chunks, err = d.fenceChain(ctx, id); err != nil {
 		return err
@@ -421,7 +423,7 @@
 	}
 	// The runs stop here before they resume at the target. A write of results that is still in progress does no harm:
 	// whichever host is second at a position reads the list again.
-	d.drop(id, batchkeeper.Head{ID: id, BatchHead: codec.BatchHead{Owner: target.ID, Total: h.head.Total, Parts: h.head.Parts}})
+	d.drop(id, batchkeeper.Head{ID: id, BatchHead: codec.BatchHead{Owner: target.ID, Total: h.head.Total, Parts: h.head.Parts, Customer: h.job.Customer}})
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	var reply codec.SubmitReply
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -91,6 +91,8 @@
 	// confirm that it owns the job.
 	headCache map[identifier.BatchID]batchkeeper.Head
 	doubted   map[identifier.BatchID]int64
+	// customers holds the customers of jobs of other hosts, which never change.
+	customers map[identifier.BatchID]identifier.CustomerName
 	// adopting holds the jobs that are being adopted on request.
 	adopting map[identifier.BatchID]struct{}
 	// lists shares the lists of all heads that other hosts request.
@@ -132,7 +134,8 @@
 		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), machine: New(Config{Pacer: config.Pacer}),
 		owned: make(map[identifier.BatchID]*ownedJob), stops: make(map[RunID]context.CancelCauseFunc),
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
-		adopting: make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
+		customers: make(map[identifier.BatchID]identifier.CustomerName),
+		adopting:  make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
 		base: base, cancel: cancel, startedAt: time.Now(),
 	}
 	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
@@ -288,6 +291,7 @@
 	last := started
 	err := d.config.Runner.Run(ctx, connector.ItemRun{
 		Upstream: upstream, Item: c.Item, Host: c.Host, After: c.After,
+		Customer: c.Customer, KeysRequired: d.config.Catalogue.Current().KeysRequired,
 		OnEvent: func(event connector.RunEvent) error {
 			events++
 			now := time.Now()
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -109,12 +109,14 @@
 
 // StartRun runs an item on an engine; generation resumes after event number After, or starts anew if it is zero.
 type StartRun struct {
-	Run    RunID
-	Job    identifier.BatchID
-	Host   string
-	Item   *codec.BatchItem
-	Engine codec.ListedHost
-	After  identifier.EventNumber
+	Run  RunID
+	Job  identifier.BatchID
+	Host string
+	// Customer owns the job; empty if there is none.
+	Customer identifier.CustomerName
+	Item     *codec.BatchItem
+	Engine   codec.ListedHost
+	After    identifier.EventNumber
 }
 
 // StopRun cancels a run; a RunEnded event follows.
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -150,5 +150,5 @@
 	it.blockedSince = time.Time{}
 	e.inFlight++
 	b.promptEngines[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
-	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Item: it.spec, Engine: e.host, After: it.lastEvent()})
+	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Customer: j.job.Customer, Item: it.spec, Engine: e.host, After: it.lastEvent()})
 }
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -48,6 +48,9 @@
 // Submit stores a job through its home, which then owns it, or with this host as owner if the home does not accept it.
 func (d *Driver) Submit(ctx context.Context, job codec.BatchJob) (connector.BatchStatus, error) {
 	if d.isOwned(job.ID) {
+		if !d.mayResubmit(job) {
+			return d.refuseTaken(job)
+		}
 		return connector.BatchAccepted, nil
 	}
 	home := d.home(job)
@@ -60,6 +63,9 @@
 		if err == nil && reply.Accepted {
 			return connector.BatchAccepted, nil
 		}
+		if err == nil && reply.IDTaken {
+			return d.refuseTaken(job)
+		}
 		outcomeUnknown = err != nil || reply.Uncertain
 		d.config.Log.Info(logger.JobKept).Str("request", string(job.ID)).Str("home", string(home.ID)).Err(err).Send()
 	}
@@ -76,8 +82,11 @@
 	ctx = context.WithoutCancel(ctx)
 	head, created, err := d.config.Keeper.Create(ctx, job, codec.BatchHead{
 		Owner: d.config.Self.ID, Address: d.config.Self.Address, Incarnation: d.config.Incarnation, Model: job.Model, Total: len(job.Items), SubmittedAt: submittedAt,
+		Customer: job.Customer,
 	})
 	switch {
+	case isTaken(err) || err == nil && !created && job.Customer != "" && !mayUse(job.Customer, head.Customer):
+		return d.refuseTaken(job)
 	case errors.Is(err, connector.ErrOutcomeUnknown):
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(job.ID)).Str("outcome", string(connector.BatchOutcomeUnknown)).Err(err).Send()
 		return connector.BatchOutcomeUnknown, err
@@ -184,7 +193,7 @@
 		return nil, annotator.Wrap("decode batch submission", "peer", err)
 	}
 	if d.isOwned(request.Job.ID) {
-		return codec.SubmitReply{Accepted: true}, nil
+		return codec.SubmitReply{Accepted: d.mayResubmit(request.Job), IDTaken: !d.mayResubmit(request.Job)}, nil
 	}
 	if d.isDraining() {
 		return codec.SubmitReply{}, nil
@@ -193,7 +202,9 @@
 	if err != nil {
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(request.Job.ID)).Str("from", string(request.From)).Err(err).Send()
 	}
-	return codec.SubmitReply{Accepted: status == connector.BatchAccepted, Uncertain: status == connector.BatchOutcomeUnknown}, nil
+	return codec.SubmitReply{
+		Accepted: status == connector.BatchAccepted, Uncertain: status == connector.BatchOutcomeUnknown, IDTaken: status == connector.BatchIDTaken,
+	}, nil
 }
 
 // End marks a job as ended in the store and stops its runs. It returns nil if the job has ended before. An error that is not
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -55,7 +55,10 @@
 		return Head{}, false, annotator.Wrap("encode batch job", "self", err)
 	}
 	for i, part := range parts {
-		if err := k.createPart(ctx, partKey(job.ID, i), part); err != nil {
+		if err := k.createPart(ctx, partKey(job.ID, i), part, job.Customer); err != nil {
+			if errors.Is(err, ErrIDTaken) {
+				return Head{}, false, err
+			}
 			// Without its head the job does not exist, whether or not the part was written.
 			return Head{}, false, fmt.Errorf("%w: %w", connector.ErrUnavailable, hideOutcomeUnknown(err))
 		}
@@ -67,14 +70,18 @@
 // hideOutcomeUnknown returns an error with the same text that no longer wraps connector.ErrOutcomeUnknown.
 func hideOutcomeUnknown(err error) error { return errors.New(err.Error()) }
 
-// createPart accepts a part that exists already, since a job ID always denotes the same content.
-func (k *Keeper) createPart(ctx context.Context, key string, part json.RawMessage) error {
+// createPart accepts a part that exists already, since a job ID always denotes the same content of one customer. Without the check
+// of the customer, a submission that wrote its parts but not its head would pass them to the next customer that chooses the id.
+func (k *Keeper) createPart(ctx context.Context, key string, part json.RawMessage, customer identifier.CustomerName) error {
 	var err error
 	for range maxWriteAttempts {
 		_, err = k.store.Put(ctx, key, 0, part)
-		if _, exists := connector.AsConflict(err); exists || err == nil {
+		if err == nil {
 			return nil
 		}
+		if conflict, exists := connector.AsConflict(err); exists {
+			return k.checkPart(ctx, key, conflict.Current, customer)
+		}
 		if !errors.Is(err, connector.ErrOutcomeUnknown) || !waitRetry(ctx) {
 			return err
 		}
--- a/service/connector/batch.go
+++ b/service/connector/batch.go
@@ -14,6 +14,10 @@
 	Item     *codec.BatchItem
 	// Host is the Host header with which the job was submitted; the request to the engine has the same.
 	Host string
+	// Customer owns the job; empty if there is none. KeysRequired is set if customers have keys, so that none may reach the engine
+	// in a header of the item.
+	Customer     identifier.CustomerName
+	KeysRequired bool
 	// After is the number of the last event received so far; zero starts from the beginning.
 	After identifier.EventNumber
 	// OnEvent receives each event in order; an error ends the run.
@@ -91,6 +95,8 @@
 const (
 	// BatchAccepted means that the job is stored and will be run.
 	BatchAccepted BatchStatus = "accepted"
+	// BatchIDTaken means that the id denotes a job of another customer, so nothing was stored or started.
+	BatchIDTaken BatchStatus = "id_taken"
 	// BatchRefused means that the job was neither stored nor started.
 	BatchRefused BatchStatus = "refused"
 	// BatchOutcomeUnknown means that the job may have been stored.
@@ -101,6 +107,9 @@
 type Batches interface {
 	// Submit stores a job; a repeated submission of the same job is accepted again.
 	Submit(ctx context.Context, job codec.BatchJob) (BatchStatus, error)
+	// CheckCustomer returns ErrNotFound if there is no such job or if it belongs to another customer. A job without a customer is
+	// open to each of them.
+	CheckCustomer(ctx context.Context, id identifier.BatchID, customer identifier.CustomerName) error
 	// Read returns the results from position after on. If there is none yet, it waits for one, at most for the given
 	// time. ErrNotFound means that there is no such job.
 	Read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, error)
--- a/service/spreader/driver.go
+++ b/service/spreader/driver.go
@@ -51,6 +51,10 @@
 	Settled func() bool
 	Timer   *timer.Service
 	Log     *logger.Logger
+	// ConfirmAlways reports whether this host needs to know that its state is current even if no other host relies on it; nil
+	// means that it does not. It costs a cheap read of the store twice a second for each region, or for each host that gets no
+	// confirmations.
+	ConfirmAlways func() bool
 	// OnUpdate receives each new state; calls are not concurrent.
 	OnUpdate func(follower.Update)
 }
@@ -116,13 +120,26 @@
 		case <-d.downReported:
 			d.reportDown(ctx, role.Recipients)
 		case <-confirms:
-			if role.Follow && len(role.Recipients) > 0 {
+			if role.Follow && (len(role.Recipients) > 0 || d.needsCheck(role)) {
 				d.confirm(ctx, role.Recipients, suspect)
 			}
 		}
 	}
 }
 
+// ConfirmedAt returns when the state was last compared with the store, as far as this host knows; it is zero without a comparison.
+func (d *Driver) ConfirmedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.ConfirmedAt()
+}
+
+func (d *Driver) needsCheck(role Role) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.NeedsCheck(time.Now(), role)
+}
+
 // confirm compares the state with the store and passes the result on: the state, or that the store cannot be reached. In that case
 // the store may never answer the watch in progress either, so suspect ends it: otherwise the state would be confirmed again once
 // the store responds, although the watch brings no changes.
@@ -145,6 +162,7 @@
 	if d.config.Settled == nil || d.config.Settled() {
 		d.machine.Settle(now)
 	}
+	d.machine.ConfirmAlways(d.config.ConfirmAlways != nil && d.config.ConfirmAlways())
 	role := d.machine.Role(now, d.config.Members.Live())
 	needed := d.machine.NeedsState(now)
 	d.mu.Unlock()
--- a/service/spreader/fleet_test.go
+++ b/service/spreader/fleet_test.go
@@ -28,7 +28,9 @@
 type countingStore struct {
 	*storekeeper.Store
 	calls atomic.Int64
-	down  atomic.Bool
+	// checks counts the cheap reads.
+	checks atomic.Int64
+	down   atomic.Bool
 }
 
 func (s *countingStore) count() error {
@@ -47,6 +49,7 @@
 }
 
 func (s *countingStore) ListStale(ctx context.Context, prefix string) (codec.ObjectList, error) {
+	s.checks.Add(1)
 	if s.down.Load() {
 		return codec.ObjectList{}, connector.ErrUnavailable
 	}
@@ -115,6 +118,9 @@
 	store *countingStore
 	mu    sync.Mutex
 	seen  map[identifier.HostID]int
+	// confirmAlways makes all hosts need confirmations.
+	confirmAlways atomic.Bool
+	drivers       []*spreader.Driver
 }
 
 // startNodes starts a fleet of which the hosts settle after a moment.
@@ -136,13 +142,13 @@
 	started := time.Now()
 	timers := timer.New(timer.Config{})
 	group.Go(func() { _ = timers.Run(ctx) })
-	var drivers []*spreader.Driver
 	for _, member := range f.lan.members {
 		p := port{f.lan, member}
-		drivers = append(drivers, spreader.NewDriver(spreader.DriverConfig{
+		f.drivers = append(f.drivers, spreader.NewDriver(spreader.DriverConfig{
 			Follower: follower.Config{Store: f.store, Prefix: "kind/", Log: logger.Discard()},
 			Members:  p, Peers: p, Timer: timers, Log: logger.Discard(),
-			Settled: func() bool { return time.Since(started) > 300*time.Millisecond },
+			ConfirmAlways: f.confirmAlways.Load,
+			Settled:       func() bool { return time.Since(started) > 300*time.Millisecond },
 			OnUpdate: func(update follower.Update) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -150,7 +156,7 @@
 			},
 		}))
 	}
-	for _, d := range drivers {
+	for _, d := range f.drivers {
 		group.Go(func() { _ = d.Run(ctx) })
 	}
 	return f
@@ -224,3 +230,47 @@
 		require.GreaterOrEqual(t, f.know(2), 32-lost)
 	})
 }
+
+// oldest returns the longest time since a host's state was confirmed.
+func (f *nodes) oldest() time.Duration {
+	var oldest time.Duration
+	for _, d := range f.drivers {
+		oldest = max(oldest, time.Since(d.ConfirmedAt()))
+	}
+	return oldest
+}
+
+// Guards against hosts that do not know that their state is current although they need to, in small zones, whose hosts watch the
+// store themselves, and in large ones; against hosts that believe so without the store; and against reads of the store where nobody
+// needs that.
+func TestStateIsConfirmedWhereItIsNeeded(t *testing.T) {
+	for _, perZone := range []int{1, 3, 8} {
+		t.Run(fmt.Sprint(4*perZone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startNodes(t, perZone)
+				time.Sleep(4 * time.Second)
+				before := f.store.checks.Load()
+				time.Sleep(4 * time.Second)
+				if perZone <= 3 {
+					require.Equal(t, before, f.store.checks.Load())
+				}
+				f.confirmAlways.Store(true)
+				time.Sleep(2 * time.Second)
+				before = f.store.checks.Load()
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					require.LessOrEqual(t, f.oldest(), 1700*time.Millisecond)
+				}
+				require.LessOrEqual(t, f.store.checks.Load()-before, int64(60), "two reads a second in each of two regions, and some")
+				f.store.down.Store(true)
+				time.Sleep(5 * time.Second)
+				for _, d := range f.drivers {
+					require.Greater(t, time.Since(d.ConfirmedAt()), 3*time.Second)
+				}
+				f.store.down.Store(false)
+				time.Sleep(3 * time.Second)
+				require.LessOrEqual(t, f.oldest(), 1700*time.Millisecond)
+			})
+		})
+	}
+}
--- a/service/spreader/spreader.go
+++ b/service/spreader/spreader.go
@@ -50,6 +50,8 @@
 	checkedAt   time.Time
 	// heldUntil is set while another host of the zone tries the store for this one.
 	heldUntil time.Time
+	// confirmAlways makes hosts of small zones, which watch the store themselves, have their state confirmed as well.
+	confirmAlways bool
 }
 
 // New returns a state machine that has no objects yet.
@@ -92,8 +94,11 @@
 	root, _ := elector.Choose(s.kind, region)
 	if len(zone) <= maxDirectHosts {
 		role := Role{Follow: settled}
-		if !s.Known() {
+		switch {
+		case !s.Known():
 			role.Sources = s.without(live)
+		case s.confirmAlways:
+			role.Sources = s.without([]codec.Member{root})
 		}
 		if settled && root.ID == s.self.ID {
 			role.Recipients = s.heads(region)
@@ -185,6 +190,18 @@
 	return changed
 }
 
+// ConfirmAlways sets whether this host needs to know that its state is current even while it watches the store itself.
+func (s *Spreader) ConfirmAlways(wanted bool) { s.confirmAlways = wanted }
+
+// NeedsCheck reports whether this host, which watches the store, has to compare its state with the store although it has no
+// recipients: the first host of the region does so for the others, which do it themselves once they get no confirmations.
+func (s *Spreader) NeedsCheck(now time.Time, role Role) bool {
+	if !s.confirmAlways || !role.Follow || !s.Known() {
+		return false
+	}
+	return len(role.Sources) == 0 || now.Sub(s.ConfirmedAt()) > stateTTL
+}
+
 // Check records that this host has compared its state with the store.
 func (s *Spreader) Check(now time.Time) { s.checkedAt = now }
 
