translator, exchanger: a stream or a text is taken only from the process that the list describes

Ruled out: the record of the origin, which is right; the answers themselves name no software. Change: the report of an engine states the start of its process. Another process is a failed attempt (restarted), which is tried elsewhere.

--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -57,6 +57,7 @@
 	RetryPermitOwnerMoved    RetryReason = "permit_owner_moved"
 	RetryStalled             RetryReason = "stalled"
 	RetryOlderWeights        RetryReason = "older_weights"
+	RetryUpstreamRestarted   RetryReason = "upstream_restarted"
 )
 
 // Entry documents one refusal reason; Text is also the title of its problem details.
@@ -121,4 +122,5 @@
 	{RetryPermitOwnerMoved, "Another host now grants permits for the shard."},
 	{RetryStalled, "The upstream sent nothing for too long."},
 	{RetryOlderWeights, "The upstream served weights older than the request allows."},
+	{RetryUpstreamRestarted, "Another process of the upstream responded than the one that the list describes."},
 }
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -284,7 +284,7 @@
 	started := time.Now()
 	upstream := connector.Upstream{
 		ID: c.Engine.ID, Address: c.Engine.Address, Zone: c.Engine.Zone, Region: c.Engine.Region,
-		Software: c.Engine.Software, Leaving: c.Engine.State == codec.HostStateLeaving,
+		Software: c.Engine.Software, StartedAt: c.Engine.StartedAt, Leaving: c.Engine.State == codec.HostStateLeaving,
 	}
 	events := 0
 	var longest time.Duration
--- a/service/connector/batch.go
+++ b/service/connector/batch.go
@@ -59,6 +59,8 @@
 	// Busy is set while an order is in progress.
 	Busy   bool
 	Models []codec.ModelState
+	// StartedAt is the start of the engine's process; zero if the report does not state it.
+	StartedAt time.Time
 }
 
 // OrderOutcome is the result of sending an order to an engine.
--- a/service/connector/failure.go
+++ b/service/connector/failure.go
@@ -34,6 +34,9 @@
 	FailureStalled Failure = "stalled"
 	// FailureOlderWeights means that the engine served weights older than the request allows.
 	FailureOlderWeights Failure = "older_weights"
+	// FailureRestarted means that another process of the upstream responded than the one that the list describes, so that the
+	// version of its software is not known.
+	FailureRestarted Failure = "restarted"
 	// FailureStopped means that this host ended the attempt because the same request has crashed other upstreams.
 	FailureStopped Failure = "stopped"
 	// FailureCancelled means that this host ended the attempt because the caller left or the deadline passed.
--- a/service/connector/fleet.go
+++ b/service/connector/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
@@ -66,7 +67,9 @@
 	Region  identifier.Region
 	// Software is the version of the upstream's software; upstreams that state none count as having the same one.
 	Software identifier.SoftwareVersion
-	Leaving  bool
+	// StartedAt is the start of the process that the list describes; zero if it is not known.
+	StartedAt time.Time
+	Leaving   bool
 }
 
 // Upstreams gives access to the upstreams of a pool, from the platform's list corrected by local evidence.
--- a/service/connector/plain.go
+++ b/service/connector/plain.go
@@ -41,6 +41,9 @@
 	PlainCall
 	// After is the number of the last event received so far; zero starts from the beginning.
 	After identifier.EventNumber
+	// Resumable is set if the stream may go on at another upstream. It is then served only by the process of the upstream that
+	// the list describes; another one may run other software.
+	Resumable bool
 	// OnStart is called with the status and header of a successful response, before its first event.
 	OnStart func(PlainResponse) error
 	// OnEvent is called for each complete event as it arrives; an error ends the attempt.
--- a/service/dispatcher/attempt.go
+++ b/service/dispatcher/attempt.go
@@ -103,6 +103,10 @@
 		afterSent, connector.FailureOlderWeights, codec.OutcomeUnknown, RetryIdempotent, refuser.RetryOlderWeights,
 		refuser.NoUpstream, "", "The engine served weights older than the request allows.",
 	},
+	{
+		afterSent, connector.FailureRestarted, codec.OutcomeUnknown, RetryIdempotent, refuser.RetryUpstreamRestarted,
+		refuser.OutcomeUnknown, "", "Another process of the upstream responded than the one that the list describes.",
+	},
 	{
 		afterSent, connector.FailureRejected, codec.OutcomeUnknown, RetryNever, "",
 		refuser.UpstreamRefused, connector.EvidenceResponded, "The upstream rejected the request as invalid.",
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -135,7 +135,7 @@
 			Query: s.request.Query, Header: s.request.Header, Body: s.request.Body, Deadline: j.deadline,
 			SingleUse: !j.idempotent, OnSent: a.onSent,
 		},
-		After:   s.last,
+		After: s.last, Resumable: j.idempotent,
 		OnStart: func(head connector.PlainResponse) error { return s.start(a, head) },
 		OnEvent: func(event connector.StreamEvent) error {
 			stallTimer.Reset(streamStallTimeout)
--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -68,6 +68,8 @@
 	SingleUse bool
 	// OnSent is called once, before the first byte is written.
 	OnSent func()
+	// OnConnection is called with the connection that carries the request; it may be nil.
+	OnConnection func(*Connection)
 }
 
 // New returns an exchanger.
@@ -149,7 +151,11 @@
 	if err != nil {
 		return nil, classify(request, err, !state.abandon())
 	}
-	if conn := state.conn.Load(); conn != nil && conn.oneExchange() {
+	conn := state.conn.Load()
+	if conn != nil && options.OnConnection != nil {
+		options.OnConnection(&conn.connection)
+	}
+	if conn != nil && conn.oneExchange() {
 		response.Body = &closingBody{ReadCloser: response.Body, conn: conn}
 	}
 	return response, nil
--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 var errAbandoned = errors.New("request was abandoned before its first byte was written")
@@ -49,7 +50,37 @@
 // exchange at a time, so one pointer is enough.
 type watchedConn struct {
 	net.Conn
-	exchange atomic.Pointer[exchangeState]
+	exchange   atomic.Pointer[exchangeState]
+	connection Connection
+}
+
+// Connection is a connection to an upstream, as its user sees it.
+type Connection struct {
+	receivedAt atomic.Int64
+	closed     atomic.Bool
+}
+
+// AliveSince reports whether bytes have arrived on the connection since a moment and it is still open.
+func (c *Connection) AliveSince(moment time.Time) bool {
+	return !c.closed.Load() && c.receivedAt.Load() >= moment.UnixNano()
+}
+
+// Closed reports whether this side has closed the connection.
+func (c *Connection) Closed() bool { return c.closed.Load() }
+
+// Read notes when bytes arrive.
+func (c *watchedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.connection.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Close notes that the connection is closed.
+func (c *watchedConn) Close() error {
+	c.connection.closed.Store(true)
+	return c.Conn.Close()
 }
 
 // claim reserves the connection for an exchange, if it carries one only.
--- a/service/lister/lister.go
+++ b/service/lister/lister.go
@@ -424,11 +424,12 @@
 
 func (h *host) upstream(now time.Time) connector.Upstream {
 	return connector.Upstream{
-		ID:       h.listed.ID,
-		Address:  h.listed.Address,
-		Zone:     h.listed.Zone,
-		Region:   h.listed.Region,
-		Software: h.listed.Software,
-		Leaving:  h.leaving(now),
+		ID:        h.listed.ID,
+		Address:   h.listed.Address,
+		Zone:      h.listed.Zone,
+		Region:    h.listed.Region,
+		Software:  h.listed.Software,
+		StartedAt: h.listed.StartedAt,
+		Leaving:   h.leaving(now),
 	}
 }
