placer, batcher, demandkeeper: engines are divided among models by demand

Cause: the engines of a pool were divided equally among its models, although the steps of one trainer need 1,440 events and those of the others 2,560, so the larger ones were late while engines idled. Change: owners of batch jobs state the demand of their models once a second to the first two hosts by rank for the lease for orders, and to its holder (peer method placement_demand). The placer divides by the smoothed demand, with one engine a model at least, and moves one engine a second at most, once the move has paid for 4 s by a whole engine on both sides. A model whose jobs are late gets up to twice its share. Only pools whose engines state the fourth load figure, or with autoscale, have a demand; others are divided as before.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -887,6 +887,31 @@
 // MemberState defines model for MemberState.
 type MemberState string
 
+// ModelDemand The work of the open batch jobs of one model that the sender owns, as far as it falls on one pool. Events are those of the texts, as the submitter expects them.
+type ModelDemand struct {
+	// Arriving Expected events that jobs bring in one second.
+	Arriving float64 `json:"arriving,omitempty"`
+
+	// DueIn Time until the first open job is due; negative if it is late.
+	DueIn Duration `json:"due_in,omitempty"`
+
+	// Late Items of a job that is late or will be late wait for engines.
+	Late  bool      `json:"late,omitempty"`
+	Model ModelName `json:"model"`
+
+	// Needed Events in one second with which the open jobs are complete when they are due; each counts by the part of that time that has passed.
+	Needed float64  `json:"needed,omitempty"`
+	Pool   PoolName `json:"pool"`
+
+	// RunningEvents Expected events that the running items still lack.
+	RunningEvents float64 `json:"running_events,omitempty"`
+	RunningItems  int     `json:"running_items,omitempty"`
+
+	// WaitingEvents Expected events of the items that wait.
+	WaitingEvents float64 `json:"waiting_events,omitempty"`
+	WaitingItems  int     `json:"waiting_items,omitempty"`
+}
+
 // ModelName defines model for ModelName.
 type ModelName = identifier.ModelName
 
@@ -1038,6 +1063,18 @@
 	Version int64 `json:"version"`
 }
 
+// PlacementDemand Reports the demand of the batch jobs that the sender owns; it replaces the last report of the sender.
+type PlacementDemand struct {
+	From   HostID        `json:"from"`
+	Models []ModelDemand `json:"models"`
+}
+
+// PlacementDemandReply defines model for PlacementDemandReply.
+type PlacementDemandReply struct {
+	// Holds Keys of the leases that the receiver holds and whose tasks use the demand.
+	Holds []string `json:"holds"`
+}
+
 // Pool defines model for Pool.
 type Pool struct {
 	// Autoscale Bounds and prices of the engines that may be ordered for a pool, in each availability zone.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -78,6 +78,8 @@
 	OrderGiven            Event = 7004
 	LeaseHandedOver       Event = 7005
 	LeaseLost             Event = 7003
+	EngineReassigned      Event = 7010
+	DivisionChanged       Event = 7011
 	SnapshotOverdue       Event = 8001
 	SnapshotBuilderTook   Event = 8002
 )
@@ -149,6 +151,8 @@
 	{LeaseAcquired, "lease acquired", "This host acquired a lease and may send the orders that the lease covers.", "No action is needed."},
 	{LeaseHandedOver, "lease handed over", "This host cannot reach the store or the engines, so it requested that another host hold the lease as the stand-in holder. A line with an error means that the request failed.", "Check this host's network path to the store."},
 	{LeaseLost, "lease lost", "This host no longer holds a lease, so it sends no further orders under it.", "No action is needed if this is rare; otherwise check this host's network path to the store."},
+	{EngineReassigned, "engine reassigned", "The holder of the lease for orders moved an engine from one model to another, because the demand of their batch jobs differs from the division of the engines. The line names the engines of both models before the move and the numbers that their demand calls for.", "No action is needed, unless the same engines move back and forth: then compare the demand in the lines with event 7011."},
+	{DivisionChanged, "demand of models", "The demand by which the holder of the lease for orders divides the engines of a pool among its models; one line for each model, after a change by more than an engine and at most every 10 s.", "No action is needed."},
 	{SnapshotOverdue, "snapshot overdue", "No new snapshot for the screens arrived in time; the screens show the age of the last one.", "Check the host in the field builder, which builds the snapshots."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host now builds the snapshots for the screens.", "No action is needed."},
 }
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -38,6 +38,8 @@
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
+	{"celerygap_engines_wanted", "engines", []string{"pool", "model"}, "Engines that the demand of a model's batch jobs calls for, on the holder of the lease for orders."},
+	{"celerygap_engines_reassigned", "engines", []string{"pool", "model"}, "Engines moved to a model because of the demand of batch jobs."},
 	{"celerygap_peer_bytes", "bytes", []string{"direction"}, "Bytes exchanged with other hosts of the service."},
 }
 
@@ -56,6 +58,7 @@
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
 	revision  metric.Int64Gauge
+	placement placementInstruments
 }
 
 // New returns a meter with a registry of its own.
@@ -85,6 +88,7 @@
 	m.bytes = b.counter("celerygap_peer_bytes")
 	m.wait = b.floatCounter("celerygap_trainer_wait")
 	m.revision = b.gauge("celerygap_catalogue_revision")
+	m.placement = b.placement()
 	b.observeInvariants()
 	return b.err
 }
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -23,6 +23,7 @@
 	"celerygap.example/service/binder"
 	"celerygap.example/service/cataloguer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/demandkeeper"
 	"celerygap.example/service/dispatcher"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/matcher"
@@ -183,6 +184,7 @@
 	dispatcher *dispatcher.Dispatcher
 	batcher    *batcher.Driver
 	placer     *placer.Driver
+	demand     *demandkeeper.Driver
 	pacer      *pacer.Driver
 	binder     *binder.Driver
 	tunneler   *tunneler.Driver
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -55,12 +55,14 @@
 		},
 		Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults, Settled: h.settled, FirstStart: settings.FirstStart,
+		OnDemand: func(models []codec.ModelDemand) { h.demand.Report(models) },
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
 		Store: h.config.Store, Orders: upstreams.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions, Settled: h.settled,
-		Substitute: h.tunneler.Substitute, CheckPath: h.checkPath,
+		Substitute: h.tunneler.Substitute, CheckPath: h.checkPath, Meter: h.config.Meter,
 	})
+	h.buildDemand()
 }
 
 // buildSpreaders builds the drivers that keep this host's copies of the configuration and of the upstreams' entries current.
@@ -111,6 +113,7 @@
 		{Name: "dispatcher", Run: h.dispatcher.Run},
 		{Name: "batcher", Run: h.batcher.Run},
 		{Name: "placer", Run: h.placer.Run},
+		{Name: "demand", Run: h.demand.Run},
 		{Name: "pacer", Run: h.pacer.Run},
 		{Name: "binder", Run: h.binder.Run},
 		{Name: "configuration", Run: h.configuration.Run},
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -46,7 +46,9 @@
 	// schedule.
 	pacer       Pacer
 	withoutTurn map[identifier.UpstreamID]struct{}
-	commands    []Command
+	// stating holds the pools whose engines state how long work takes on them.
+	stating  map[identifier.PoolName]struct{}
+	commands []Command
 }
 
 // Pacer hands out turns for runs on engines that name a limit.
@@ -86,6 +88,7 @@
 		pacer: config.Pacer, withoutTurn: make(map[identifier.UpstreamID]struct{}),
 		jobs: make(map[identifier.BatchID]*job), engines: make(map[identifier.UpstreamID]*engine),
 		runs: make(map[RunID]*run), promptEngines: make(map[groupKey]identifier.UpstreamID),
+		stating: make(map[identifier.PoolName]struct{}),
 	}
 }
 
@@ -109,6 +112,7 @@
 	case LoadReported:
 		if reporting, ok := b.engines[e.Engine]; ok {
 			reporting.applyLoad(now, e.Load)
+			b.noteSlowness(reporting.host.Pool, e.Load)
 		}
 		return nil
 	case RunEnded:
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -31,6 +31,8 @@
 	stopped map[batcher.RunID]batcher.StopReason
 	rewards []batcher.StartReward
 	appends []batcher.Append
+	// routes holds the entries of the jobs of submitStep.
+	routes map[identifier.BatchID]codec.Entry
 }
 
 func newHarness(t require.TestingT) *harness { return newPacedHarness(t, nil) }
--- a/service/placer/driver.go
+++ b/service/placer/driver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"celerygap.example/lib/asserter"
@@ -12,6 +13,7 @@
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
+	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/updater"
@@ -59,6 +61,8 @@
 	Substitute func() (host identifier.HostID, ok bool)
 	// CheckPath is called for an engine to which no connection could be opened, so that Substitute knows about it; it may be nil.
 	CheckPath func(ctx context.Context, upstream connector.Upstream)
+	// Meter may be nil.
+	Meter *meter.Meter
 }
 
 // Driver acquires the lease, feeds events to a Placer and sends its loads to the engines while it holds the lease.
@@ -76,6 +80,9 @@
 	// failures counts the calls for the lease in a row that did not reach the store or got no response.
 	failures  int
 	startedAt time.Time
+	// holding reports whether the lease allowed orders at the last check; shareLogs holds what was logged of each pool's division.
+	holding   atomic.Bool
+	shareLogs map[identifier.PoolName]shareLog
 
 	mu       sync.Mutex
 	pending  []Event
@@ -100,7 +107,7 @@
 	holder := config.Members.Self().ID + holderSeparator + identifier.HostID(strconv.FormatInt(int64(config.Members.Self().Incarnation), 10))
 	d := &Driver{
 		config: config, machine: New(), calls: grouper.NewGroup(-1), results: buffer.New[result](resultCapacity),
-		drained: make(chan struct{}), startedAt: time.Now(),
+		drained: make(chan struct{}), startedAt: time.Now(), shareLogs: make(map[identifier.PoolName]shareLog),
 	}
 	d.lease = updater.NewLease(updater.LeaseConfig{
 		Holder: holder, Duration: config.LeaseDuration, Renewal: config.LeaseDuration / renewalDivisor,
@@ -277,13 +284,16 @@
 // startLoads starts the loads that are due if the lease allows orders now.
 func (d *Driver) startLoads(ctx context.Context) {
 	grant := d.lease.Grant()
-	if !grant.Valid(time.Now()) {
+	valid := grant.Valid(time.Now())
+	d.holding.Store(valid)
+	if !valid {
 		return
 	}
 	for _, load := range d.machine.Handle(time.Now(), Tick{}) {
 		d.inFlight++
 		d.calls.Go(func() { d.results.Offer(result{event: d.order(ctx, load, grant)}) })
 	}
+	d.reportDivision(time.Now())
 }
 
 // order orders an engine to load a version and polls it until it serves that version.
--- a/service/placer/placer.go
+++ b/service/placer/placer.go
@@ -87,10 +87,14 @@
 	engines        map[identifier.UpstreamID]*engine
 	finishRuns     map[identifier.ModelName]bool
 	versionsListed bool
+	// moves holds the moves that TakeMoves has not returned yet.
+	moves []Move
 }
 
 type pool struct {
 	models []identifier.ModelName
+	// division divides the engines by demand; nil without one.
+	division *division
 	// engines is sorted by zone and id, so that assigning them to the models in turn spreads each model over the zones.
 	engines []*engine
 }
@@ -104,6 +108,8 @@
 	loading      bool
 	loadingSince time.Time
 	backoffUntil time.Time
+	// movedAt is when the engine was moved to its model because of the demand.
+	movedAt time.Time
 }
 
 // New returns a placer that knows no engines.
@@ -125,6 +131,8 @@
 		p.newest[e.Model] = max(p.newest[e.Model], e.Version)
 	case OrderEnded:
 		p.endOrder(now, e)
+	case DemandStated:
+		p.stateDemand(now, e)
 	case VersionsListed:
 		p.versionsListed = true
 	case LeaseAcquired:
@@ -145,7 +153,11 @@
 	}
 	var loads []Load
 	for _, pl := range p.pools {
-		p.assign(pl)
+		if pl.byDemand(now) {
+			p.assignByDemand(now, pl)
+		} else {
+			p.assign(pl)
+		}
 		loads = append(loads, p.startLoads(now, pl)...)
 	}
 	return loads
@@ -208,15 +220,7 @@
 // assign divides the engines of a pool equally among its models. An engine keeps its model; one without a model gets the
 // one of which it has the newest weights, because an earlier holder of the lease assigned it that model.
 func (p *Placer) assign(pl *pool) {
-	counts := make(map[identifier.ModelName]int, len(pl.models))
-	for _, e := range pl.engines {
-		if !slices.Contains(pl.models, e.model) {
-			e.model = ""
-		}
-		if e.model != "" {
-			counts[e.model]++
-		}
-	}
+	counts := pl.counts()
 	maxPerModel := (len(pl.engines) + len(pl.models) - 1) / len(pl.models)
 	minPerModel := len(pl.engines) / len(pl.models)
 	for i, e := range pl.engines {
