--- a/service/binder/binder_test.go
+++ b/service/binder/binder_test.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	handlers map[identifier.HostID]map[string]connector.Handler
 	down     map[identifier.HostID]bool
+	all      []codec.Member
 	// delay is how long each call takes to arrive.
 	delay time.Duration
 }
@@ -76,19 +77,24 @@
 
 func newFleet(count int, delay time.Duration) (*fleet, []*binder.Driver) {
 	f := &fleet{handlers: make(map[identifier.HostID]map[string]connector.Handler), down: make(map[identifier.HostID]bool), delay: delay}
-	var all []codec.Member
 	for i := range count {
-		all = append(all, codec.Member{ID: identifier.HostID(fmt.Sprint("h", i))})
+		f.all = append(f.all, codec.Member{ID: identifier.HostID(fmt.Sprint("h", i))})
 	}
 	drivers := make([]*binder.Driver, count)
-	for i, member := range all {
-		drivers[i] = binder.NewDriver(binder.DriverConfig{
-			Members: members{member.ID, all}, Peers: peers{f, member.ID}, Timer: timer.New(timer.Config{}),
-		})
+	for i := range f.all {
+		drivers[i] = f.restart(i)
 	}
 	return f, drivers
 }
 
+// restart returns the driver of a new process of a host, which gets the calls to it from now on.
+func (f *fleet) restart(index int) *binder.Driver {
+	self := f.all[index].ID
+	return binder.NewDriver(binder.DriverConfig{
+		Members: members{self, f.all}, Peers: peers{f, self}, Timer: timer.New(timer.Config{}),
+	})
+}
+
 func (f *fleet) setDown(index int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -146,6 +152,45 @@
 	require.Equal(t, origin, found)
 }
 
+// Guards against a stream that is lost for good because the record of its former host arrives only after the directory hosts
+// were started again.
+func TestRecordOfAFormerProcessArrivesLate(t *testing.T) {
+	f, drivers := newFleet(6, 0)
+	former := drivers[0]
+	for i := range drivers {
+		drivers[i] = f.restart(i)
+	}
+	_, ok := drivers[1].Find(t.Context(), "s")
+	require.False(t, ok, "no process has the record any more")
+	former.Record("s", origin, time.Minute)
+	for i, d := range drivers[1:] {
+		found, ok := d.Find(t.Context(), "s")
+		require.True(t, ok, "host %d", i+1)
+		require.Equal(t, origin, found)
+	}
+}
+
+// Guards against a stream that goes on at the version of another one with the same id: a caller who got no event sends its attempt
+// again, which another host begins at another version, and the record of the first attempt arrives late, or first.
+func TestContradictingRecordsAreNotTrusted(t *testing.T) {
+	other := codec.StreamOrigin{Pool: "p", Software: "v1"}
+	for name, order := range map[string][]codec.StreamOrigin{"late": {origin, other}, "first": {other, origin}} {
+		t.Run(name, func(t *testing.T) {
+			f, drivers := newFleet(8, 0)
+			for i, recorded := range order {
+				drivers[i].Record("s", recorded, time.Minute)
+				time.Sleep(50 * time.Millisecond)
+			}
+			f.setDown(0)
+			f.setDown(1)
+			for i, d := range drivers[2:] {
+				_, ok := d.Find(t.Context(), "s")
+				require.False(t, ok, "host %d", i+2)
+			}
+		})
+	}
+}
+
 // Guards against a lookup of an unknown stream that keeps its caller waiting, and against a request without a stream.
 func TestUnknownStreamIsReportedSoon(t *testing.T) {
 	f, drivers := newFleet(6, 0)
--- a/service/dispatcher/software_test.go
+++ b/service/dispatcher/software_test.go
@@ -167,3 +167,24 @@
 	require.Equal(t, refuser.NoUpstream, refusal.Reason, "the route does not use the pool any more")
 	require.Empty(t, used)
 }
+
+// Guards against a stream of an unknown origin that goes on because only one software version is listed: the upstreams of the one
+// that began it may have left.
+func TestStreamOfUnknownOriginIsRefusedIfOneVersionIsListed(t *testing.T) {
+	for _, origins := range []connector.StreamOrigins{nil, &fakeOrigins{known: make(map[identifier.StreamID]codec.StreamOrigin)}} {
+		ran := false
+		config := mixedConfig(t, &scriptedClient{streams: []func(context.Context, connector.StreamCall) error{func(ctx context.Context, call connector.StreamCall) error {
+			ran = true
+			return events(6, "")(ctx, call)
+		}}}, "v1", "v1")
+		config.Origins = origins
+		request := routeRequest
+		request.ID, request.Resumes, request.Header = "second", "first", http.Header{"Last-Event-Id": {"2"}}
+		_, err := dispatcher.New(config).Stream(t.Context(), request, &sink{})
+		refusal, ok := refuser.As(err)
+		require.True(t, ok)
+		require.Equal(t, refuser.StreamUnknown, refusal.Reason)
+		require.Equal(t, codec.OutcomeNotRun, refusal.Outcome)
+		require.False(t, ran, "nothing ran")
+	}
+}
