binder: a stream with two recorded origins is unknown

Cause: the first record of a stream stayed. A caller who got no event and sends its attempt again under its id may have the record of another stream there, of a frozen or killed host, and its stream was taken up at the wrong software version. Two directory hosts that each got only one of the two records are not told apart.

--- a/service/binder/doc.go
+++ b/service/binder/doc.go
@@ -2,8 +2,8 @@
 // events that fit the earlier ones.
 //
 // The host that passes the first event of a stream on records its origin, and sends it to a few directory hosts, chosen by
-// rendezvous hashing among the live ones; any other host asks these. A record never changes, so all copies are the same, and a
-// stream of which no copy is left is not continued. Nothing of this needs the platform's store.
+// rendezvous hashing among the live ones; any other host asks these. A record never changes, so all copies are the same. A
+// stream of which no copy is left, or of which a host has two different ones, is not continued. Nothing of this needs the platform's store.
 //
 // Records is the state of one host; Driver connects it to the other hosts.
 package binder
--- a/service/binder/driver.go
+++ b/service/binder/driver.go
@@ -116,7 +116,7 @@
 	if origin, _, ok := d.get(stream); ok {
 		return origin, true
 	}
-	if stream == "" {
+	if stream == "" || d.contradicted(stream) {
 		return codec.StreamOrigin{}, false
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -173,6 +173,12 @@
 	return origin, until.Sub(now), found
 }
 
+func (d *Driver) contradicted(stream identifier.StreamID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.records.Contradicted(stream)
+}
+
 // nextArrival returns a channel that is closed when the next record arrives.
 func (d *Driver) nextArrival() <-chan struct{} {
 	d.mu.Lock()
--- a/service/binder/records.go
+++ b/service/binder/records.go
@@ -20,6 +20,8 @@
 	stream identifier.StreamID
 	origin codec.StreamOrigin
 	until  time.Time
+	// contradicted is set once another origin was recorded for the stream.
+	contradicted bool
 }
 
 // Records holds the origins of streams. It is not safe for concurrent use.
@@ -34,13 +36,16 @@
 	return &Records{byStream: make(map[identifier.StreamID]*list.Element), order: list.New()}
 }
 
-// Put records the origin of a stream until a moment. The first origin of a stream stays.
+// Put records the origin of a stream until a moment. Another origin for the same stream makes it unknown: a caller who got no
+// event may send its attempt again under its id, and which of the two began what the caller holds cannot be told.
 func (r *Records) Put(stream identifier.StreamID, origin codec.StreamOrigin, until time.Time) {
 	if stream == "" || len(stream) > maxIDLength {
 		return
 	}
 	if element, ok := r.byStream[stream]; ok {
-		if known := element.Value.(*record); until.After(known.until) {
+		known := element.Value.(*record)
+		known.contradicted = known.contradicted || known.origin != origin
+		if until.After(known.until) {
 			known.until = until
 		}
 		return
@@ -51,14 +56,20 @@
 	r.byStream[stream] = r.order.PushBack(&record{stream: stream, origin: origin, until: until})
 }
 
-// Get returns the origin of a stream and until when it is kept.
+// Get returns the origin of a stream and until when it is kept; ok is false if it is not known.
 func (r *Records) Get(now time.Time, stream identifier.StreamID) (origin codec.StreamOrigin, until time.Time, ok bool) {
 	element, ok := r.byStream[stream]
 	if !ok {
 		return codec.StreamOrigin{}, time.Time{}, false
 	}
 	known := element.Value.(*record)
-	return known.origin, known.until, now.Before(known.until)
+	return known.origin, known.until, now.Before(known.until) && !known.contradicted
+}
+
+// Contradicted reports whether two origins were recorded for a stream.
+func (r *Records) Contradicted(stream identifier.StreamID) bool {
+	element, ok := r.byStream[stream]
+	return ok && element.Value.(*record).contradicted
 }
 
 // Expire forgets the records whose time is over.
