scaler: decides how many engines each zone has, and orders them

Cause: deployments with autoscaling run a constant number of engines, although their load varies and engine prices differ by zone and kind. Change: the state machine has engines for the peak of the last 30 s with a quarter in reserve and for the loss of one zone's preemptible engines; it orders at once, gives back slowly, and never below the last number ordered. The driver sends the orders under the lease for duties and checks the lease immediately before each call. Hosts pass on the loads that they heard with placement_demand.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -743,6 +743,16 @@
 	PerSecond float64 `json:"per_second"`
 }
 
+// HeardLoad defines model for HeardLoad.
+type HeardLoad struct {
+	// Age How long ago the load was heard.
+	Age    Duration   `json:"age"`
+	Engine UpstreamID `json:"engine"`
+
+	// Requests Requests that run or wait there.
+	Requests int `json:"requests"`
+}
+
 // HostID defines model for HostID.
 type HostID = identifier.HostID
 
@@ -1063,9 +1073,12 @@
 	Version int64 `json:"version"`
 }
 
-// PlacementDemand Reports the demand of the batch jobs that the sender owns; it replaces the last report of the sender.
+// PlacementDemand Reports the demand of the batch jobs that the sender owns, and loads of engines; it replaces the last report of the sender.
 type PlacementDemand struct {
-	From   HostID        `json:"from"`
+	From HostID `json:"from"`
+
+	// Loads Loads that engines whose number is decided by load have stated to the sender lately.
+	Loads  []HeardLoad   `json:"loads,omitempty"`
 	Models []ModelDemand `json:"models"`
 }
 
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -80,6 +80,9 @@
 	LeaseLost             Event = 7003
 	EngineReassigned      Event = 7010
 	DivisionChanged       Event = 7011
+	EnginesOrdered        Event = 7020
+	EngineOrderFailed     Event = 7021
+	DutyOrdersBegan       Event = 7022
 	SnapshotOverdue       Event = 8001
 	SnapshotBuilderTook   Event = 8002
 )
@@ -153,6 +156,9 @@
 	{LeaseLost, "lease lost", "This host no longer holds a lease, so it sends no further orders under it.", "No action is needed if this is rare; otherwise check this host's network path to the store."},
 	{EngineReassigned, "engine reassigned", "The holder of the lease for orders moved an engine from one model to another, because the demand of their batch jobs differs from the division of the engines. The line names the engines of both models before the move and the numbers that their demand calls for.", "No action is needed, unless the same engines move back and forth: then compare the demand in the lines with event 7011."},
 	{DivisionChanged, "demand of models", "The demand by which the holder of the lease for orders divides the engines of a pool among its models; one line for each model, after a change by more than an engine and at most every 10 s.", "No action is needed."},
+	{EnginesOrdered, "engines ordered", "The holder of the lease for duties ordered a number of engines of one kind in a zone, and the platform accepted it. The field reason names why: minimum, need, surplus or cheaper; peak, required and have are the work, the engines that it calls for and those there are in the whole pool.", "No action is needed."},
+	{EngineOrderFailed, "order of engines failed", "The platform did not accept an order of engines; the field outcome tells whether it has none there (rejected), was called too often (throttled) or did not respond (unknown). Rejected orders are placed elsewhere, others are repeated.", "Check the platform's API for duties if this is repeated."},
+	{DutyOrdersBegan, "orders of engines began or ended", "This host began or ceased to decide the number of engines, because it acquired or lost the lease for duties. It orders nothing for one boot time after the beginning.", "No action is needed."},
 	{SnapshotOverdue, "snapshot overdue", "No new snapshot for the screens arrived in time; the screens show the age of the last one.", "Check the host in the field builder, which builds the snapshots."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host now builds the snapshots for the screens.", "No action is needed."},
 }
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -40,6 +40,9 @@
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
 	{"celerygap_engines_wanted", "engines", []string{"pool", "model"}, "Engines that the demand of a model's batch jobs calls for, on the holder of the lease for orders."},
 	{"celerygap_engines_reassigned", "engines", []string{"pool", "model"}, "Engines moved to a model because of the demand of batch jobs."},
+	{"celerygap_engine_orders", "calls", []string{"pool", "zone", "outcome"}, "Orders of engines sent to the platform."},
+	{"celerygap_engines_required", "engines", []string{"pool"}, "Engines that the work of a pool calls for, with the reserve, on the holder of the lease for duties."},
+	{"celerygap_engines_available", "engines", []string{"pool"}, "Engines of a pool that are listed or on their way, on the holder of the lease for duties."},
 	{"celerygap_peer_bytes", "bytes", []string{"direction"}, "Bytes exchanged with other hosts of the service."},
 }
 
--- a/lib/meter/placement.go
+++ b/lib/meter/placement.go
@@ -11,10 +11,17 @@
 type placementInstruments struct {
 	wanted     metric.Float64Gauge
 	reassigned metric.Int64Counter
+	orders     metric.Int64Counter
+	required   metric.Int64Gauge
+	available  metric.Int64Gauge
 }
 
 func (b *builder) placement() placementInstruments {
-	return placementInstruments{wanted: b.floatGauge("celerygap_engines_wanted"), reassigned: b.counter("celerygap_engines_reassigned")}
+	return placementInstruments{
+		wanted: b.floatGauge("celerygap_engines_wanted"), reassigned: b.counter("celerygap_engines_reassigned"),
+		orders: b.counter("celerygap_engine_orders"), required: b.gauge("celerygap_engines_required"),
+		available: b.gauge("celerygap_engines_available"),
+	}
 }
 
 func (b *builder) floatGauge(name string) metric.Float64Gauge {
@@ -38,6 +45,23 @@
 	}
 }
 
+// EnginesOrdered counts an order of engines; it does nothing without a meter.
+func (m *Meter) EnginesOrdered(pool, zone, outcome string) {
+	if m != nil {
+		m.placement.orders.Add(context.Background(), 1, metric.WithAttributes(
+			attribute.String("pool", pool), attribute.String("zone", zone), attribute.String("outcome", outcome)))
+	}
+}
+
+// EnginesRequired records the engines that a pool must have and those that it has; it does nothing without a meter.
+func (m *Meter) EnginesRequired(pool string, required, available int) {
+	if m != nil {
+		label := metric.WithAttributes(attribute.String("pool", pool))
+		m.placement.required.Record(context.Background(), int64(required), label)
+		m.placement.available.Record(context.Background(), int64(available), label)
+	}
+}
+
 func modelLabels(pool, model string) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("pool", pool), attribute.String("model", model))
 }
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -31,6 +31,7 @@
 	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/prober"
+	"celerygap.example/service/scaler"
 	"celerygap.example/service/spreader"
 	"celerygap.example/service/tunneler"
 )
@@ -164,6 +165,8 @@
 	// of requests in network.
 	NewUpstreams func(observer connector.Observer, network connector.Network) Upstreams
 	NewFront     func(Parts) Front
+	// DutyCalls is the client of the platform's calls that one host at a time makes; nil if there are none.
+	DutyCalls connector.DutyCalls
 }
 
 // Host is one host with all its parts; New builds it and Run runs it.
@@ -185,9 +188,11 @@
 	batcher    *batcher.Driver
 	placer     *placer.Driver
 	demand     *demandkeeper.Driver
-	pacer      *pacer.Driver
-	binder     *binder.Driver
-	tunneler   *tunneler.Driver
+	// scaler is nil unless the platform takes orders of engines.
+	scaler   *scaler.Driver
+	pacer    *pacer.Driver
+	binder   *binder.Driver
+	tunneler *tunneler.Driver
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -312,6 +317,9 @@
 // ReportLoad passes a load to the scheduling of batch jobs; the dispatcher takes it from the responses to its own calls.
 func (o observer) ReportLoad(id identifier.UpstreamID, load codec.LoadReport) {
 	o.host.batcher.LoadReported(id, load)
+	if o.host.scaler != nil {
+		o.host.scaler.Handle(scaler.LoadReported{Engine: id, Load: load})
+	}
 }
 
 // ReportLimit passes the limit that an upstream names to the pacer.
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -21,6 +21,7 @@
 	"celerygap.example/service/placer"
 	"celerygap.example/service/relayer"
 	"celerygap.example/service/retirer"
+	"celerygap.example/service/scaler"
 	"celerygap.example/service/spreader"
 )
 
@@ -55,13 +56,13 @@
 		},
 		Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
 		Timer: h.timer, Log: h.log, KeepResults: settings.KeepResults, Settled: h.settled, FirstStart: settings.FirstStart,
-		OnDemand: func(models []codec.ModelDemand) { h.demand.Report(models) },
 	})
 	h.placer = placer.NewDriver(placer.DriverConfig{
 		Store: h.config.Store, Orders: upstreams.Orders, Members: h.prober, Peers: h.peers, Fenced: settings.Fenced, Timer: h.timer, Log: h.log,
 		LeaseDuration: settings.LeaseDuration, FollowVersions: h.followVersions, Settled: h.settled,
 		Substitute: h.tunneler.Substitute, CheckPath: h.checkPath, Meter: h.config.Meter,
 	})
+	h.buildScaler()
 	h.buildDemand()
 }
 
@@ -125,6 +126,9 @@
 	if h.listeners.metrics != nil {
 		duties = append(duties, serve("metrics", h.listeners.metrics, newServer(h.config.Meter.Handler())))
 	}
+	if h.scaler != nil {
+		duties = append(duties, grouper.Duty{Name: "scaler", Run: h.scaler.Run})
+	}
 	return append(duties, h.lister.Duties()...)
 }
 
@@ -161,6 +165,9 @@
 		return
 	}
 	h.placer.Handle(placer.PoolsChanged{Pools: catalogue.Pools, FinishRuns: finishRuns(catalogue)})
+	if h.scaler != nil {
+		h.scaler.Handle(scaler.PoolsChanged{Pools: catalogue.Pools})
+	}
 }
 
 // finishRuns returns the models whose running requests must end under the version with which they began: those of the pools
@@ -219,6 +226,9 @@
 func (h *Host) publishUpstreams(published lister.Publish) {
 	h.batcher.EnginesChanged(published.Listed)
 	h.placer.Handle(placer.EnginesChanged{Engines: published.Listed})
+	if h.scaler != nil {
+		h.scaler.Handle(scaler.EnginesChanged{Engines: published.Listed})
+	}
 }
 
 // followVersions follows the announced versions until ctx ends. It calls announced for each version that is higher than the
--- a/service/batcher/demand.go
+++ b/service/batcher/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
@@ -11,8 +10,6 @@
 )
 
 const (
-	// demandInterval is the time between two statements of demand.
-	demandInterval = time.Second
 	// defaultEvents is the expected length of a text of which the submitter states none, until texts of the model are complete.
 	defaultEvents = 64
 	// arrivalWindow bounds the submissions from which the rate of arriving work follows, and arrivalJobs their number.
@@ -251,23 +248,8 @@
 	return false
 }
 
-// stateDemand states the demand of the jobs that this host owns once a second, until ctx ends.
-func (d *Driver) stateDemand(ctx context.Context) {
-	ticks, stop := d.config.Timer.Subscribe(demandInterval)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-			if demands := d.demand(); len(demands) > 0 {
-				d.config.OnDemand(demands)
-			}
-		}
-	}
-}
-
-func (d *Driver) demand() []codec.ModelDemand {
+// Demand returns the demand of the open jobs that this host owns, as far as their pools are divided by it.
+func (d *Driver) Demand() []codec.ModelDemand {
 	always := make(map[identifier.PoolName]bool)
 	for _, pool := range d.config.Catalogue.Current().Pools {
 		if pool.Autoscale != nil {
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -72,8 +72,6 @@
 	// the defaults.
 	SettleTime     time.Duration
 	ReviewInterval time.Duration
-	// OnDemand gets the demand of the jobs that this host owns once a second, if there is any; it must not wait. It may be nil.
-	OnDemand func([]codec.ModelDemand)
 }
 
 // Driver feeds events to a Batcher, executes its commands and implements connector.Batches. It is safe for concurrent use.
@@ -175,9 +173,6 @@
 	defer stopReviews()
 	catalogues := d.config.Catalogue.Subscribe()
 	d.work.Go(func() { d.reviewLoop(ctx) })
-	if d.config.OnDemand != nil {
-		d.work.Go(func() { d.stateDemand(ctx) })
-	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/service/demandkeeper/demandkeeper.go
+++ b/service/demandkeeper/demandkeeper.go
@@ -13,6 +13,7 @@
 	// maxHosts and maxModels bound what is kept.
 	maxHosts  = 512
 	maxModels = 256
+	maxLoads  = 4096
 )
 
 // Demand is the demand of models by pool.
@@ -26,6 +27,13 @@
 type statement struct {
 	receivedAt time.Time
 	models     []codec.ModelDemand
+	loads      []codec.HeardLoad
+}
+
+// Load is the number of requests on an engine, as it stated at a time.
+type Load struct {
+	Requests int
+	At       time.Time
 }
 
 // New returns a Keeper without statements.
@@ -37,14 +45,27 @@
 	if _, known := k.statements[stated.From]; !known && len(k.statements) >= maxHosts {
 		return false
 	}
-	models := stated.Models
-	if len(models) > maxModels {
-		models = models[:maxModels]
+	k.statements[stated.From] = statement{
+		receivedAt: now, models: stated.Models[:min(len(stated.Models), maxModels)], loads: stated.Loads[:min(len(stated.Loads), maxLoads)],
 	}
-	k.statements[stated.From] = statement{receivedAt: now, models: models}
 	return true
 }
 
+// Loads returns the newest load of each engine that was heard lately.
+func (k *Keeper) Loads(now time.Time) map[identifier.UpstreamID]Load {
+	k.expire(now)
+	loads := make(map[identifier.UpstreamID]Load)
+	for _, stated := range k.statements {
+		for _, heard := range stated.loads {
+			at := stated.receivedAt.Add(-max(0, heard.Age.Std()))
+			if known, ok := loads[heard.Engine]; !ok || at.After(known.At) {
+				loads[heard.Engine] = Load{Requests: heard.Requests, At: at}
+			}
+		}
+	}
+	return loads
+}
+
 // Demand returns the sum of the statements that hold. Late is set if one of them says so.
 func (k *Keeper) Demand(now time.Time) Demand {
 	k.expire(now)
--- a/service/demandkeeper/demandkeeper_test.go
+++ b/service/demandkeeper/demandkeeper_test.go
@@ -41,6 +41,20 @@
 	require.Empty(t, k.Demand(now.Add(7*time.Second)))
 }
 
+// Guards against a load that replaces a newer one, because its host reported later.
+func TestNewestLoadCounts(t *testing.T) {
+	now := time.Now()
+	k := demandkeeper.New()
+	k.State(now, codec.PlacementDemand{From: "a", Loads: []codec.HeardLoad{{Engine: "e", Requests: 3, Age: identifier.Duration(100 * time.Millisecond)}}})
+	k.State(now.Add(time.Second), codec.PlacementDemand{From: "b", Loads: []codec.HeardLoad{
+		{Engine: "e", Requests: 9, Age: identifier.Duration(2 * time.Second)}, {Engine: "f", Requests: 1},
+	}})
+	loads := k.Loads(now.Add(time.Second))
+	require.Equal(t, 3, loads["e"].Requests)
+	require.Equal(t, 1, loads["f"].Requests)
+	require.Empty(t, k.Loads(now.Add(7*time.Second)))
+}
+
 // Guards against memory that grows with what hosts send.
 func TestKeeperIsBounded(t *testing.T) {
 	now := time.Now()
@@ -112,7 +126,9 @@
 
 func (n *network) add(id identifier.HostID) *demandkeeper.Driver {
 	return demandkeeper.NewDriver(demandkeeper.DriverConfig{
-		Members: endpoint{n, id}, Peers: endpoint{n, id}, OnDemand: func(demandkeeper.Demand) {},
+		Members: endpoint{n, id}, Peers: endpoint{n, id}, OnDemand: func(demandkeeper.Demand, map[identifier.UpstreamID]demandkeeper.Load) {},
+		Demand: func() []codec.ModelDemand { return []codec.ModelDemand{{Pool: "p", Model: "m", Arriving: 1}} },
+		Loads:  func() []codec.HeardLoad { return nil },
 		Leases: []demandkeeper.Lease{{Key: leaseKey, Holds: func() bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -151,7 +167,7 @@
 	n.setHolder(holder)
 	knows := func(id identifier.HostID) bool { return len(drivers[id].Demand()) > 0 }
 	report := func() {
-		sender.Report([]codec.ModelDemand{{Pool: "p", Model: "m", Arriving: 1}})
+		sender.Report()
 		time.Sleep(20 * time.Millisecond)
 	}
 	report()
@@ -190,7 +206,7 @@
 	sender := n.add(ranked[2].ID)
 	n.setHolder(ranked[2].ID)
 	for range 4 {
-		sender.Report([]codec.ModelDemand{{Pool: "p", Model: "m"}})
+		sender.Report()
 		time.Sleep(10 * time.Millisecond)
 	}
 	require.NotEmpty(t, sender.Demand(), "this host holds the lease itself")
--- a/service/demandkeeper/driver.go
+++ b/service/demandkeeper/driver.go
@@ -11,6 +11,7 @@
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/elector"
 )
@@ -21,7 +22,9 @@
 	// candidates is the number of hosts by rank that get the demand for a lease: the one that should hold it and its substitute,
 	// so that a new holder knows the demand at once.
 	candidates = 2
-	// callTimeout bounds a report. The next one follows after a second.
+	// reportInterval is the time between two reports.
+	reportInterval = time.Second
+	// callTimeout bounds a report; the next one follows anyway.
 	callTimeout = 500 * time.Millisecond
 )
 
@@ -37,9 +40,13 @@
 type DriverConfig struct {
 	Members connector.Members
 	Peers   connector.Peers
+	Timer   *timer.Service
 	Leases  []Lease
-	// OnDemand gets the demand of all hosts after each report; it must not wait.
-	OnDemand func(Demand)
+	// Demand returns the demand of this host's jobs, and Loads the loads that it heard. While both are empty, nothing is sent.
+	Demand func() []codec.ModelDemand
+	Loads  func() []codec.HeardLoad
+	// OnDemand gets what all hosts reported lately, after each report; it must not wait.
+	OnDemand func(Demand, map[identifier.UpstreamID]Load)
 }
 
 // Driver sends the demand of this host's jobs to the hosts that decide by it, and collects that of others. It is safe for
@@ -72,12 +79,20 @@
 	return d
 }
 
-// Run ends the calls under way once ctx ends; its error is always nil.
+// Run sends a report each second until ctx ends, then ends the calls under way; its error is always nil.
 func (d *Driver) Run(ctx context.Context) error {
-	<-ctx.Done()
-	d.cancel()
-	d.work.Wait()
-	return nil
+	ticks, stop := d.config.Timer.Subscribe(reportInterval)
+	defer stop()
+	defer d.work.Wait()
+	defer d.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			d.Report()
+		}
+	}
 }
 
 // Demand returns the demand of all hosts that reported to this one lately.
@@ -87,10 +102,16 @@
 	return d.keeper.Demand(time.Now())
 }
 
-// Report sends the demand of this host's jobs to the candidates and the holder of each lease, without waiting. A host without
+// Report sends what this host knows to the candidates and the holder of each lease, without waiting. A host without
 // the method runs an older build and gets the next report all the same.
-func (d *Driver) Report(models []codec.ModelDemand) {
-	report := codec.PlacementDemand{From: d.config.Members.Self().ID, Models: models}
+func (d *Driver) Report() {
+	report := codec.PlacementDemand{From: d.config.Members.Self().ID, Models: d.config.Demand(), Loads: d.config.Loads()}
+	if len(report.Models) == 0 && len(report.Loads) == 0 {
+		return
+	}
+	if report.Models == nil {
+		report.Models = []codec.ModelDemand{}
+	}
 	for _, member := range d.receivers() {
 		d.mu.Lock()
 		_, busy := d.calling[member.ID]
@@ -157,9 +178,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	d.keeper.State(now, report)
-	demand := d.keeper.Demand(now)
+	demand, loads := d.keeper.Demand(now), d.keeper.Loads(now)
 	d.mu.Unlock()
-	d.config.OnDemand(demand)
+	d.config.OnDemand(demand, loads)
 	reply := codec.PlacementDemandReply{Holds: []string{}}
 	for _, lease := range d.config.Leases {
 		if lease.Holds() {
