batcher: runs that cannot end before their engine is gone move at once

Cause: a leaving engine got no new items, but its runs went on until it was taken away, which for a preempted engine is 2 s after the notice; they broke off then, and their groups were late. Change: an entry that states the time until the engine is gone makes its owner stop the runs that will not end by then, as soon as another engine has a slot, and all others 300 ms before the end. Their texts go on elsewhere. Engines that state no time are left alone.

--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -106,6 +106,8 @@
 		b.changeRoutes(now, e)
 	case EnginesChanged:
 		b.replaceEngines(e.Engines)
+		b.noteLeaving(now)
+		b.moveFromLeaving(now)
 	case EventReceived:
 		b.receive(now, e)
 		return b.commands
@@ -372,6 +374,7 @@
 		}
 	}
 	b.stopStalled(now)
+	b.moveFromLeaving(now)
 	b.moveFromSlow(now)
 	b.save(now)
 }
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -52,6 +52,9 @@
 	// others is the number of requests of other hosts on the engine, as of othersAt.
 	others   int
 	othersAt time.Time
+	// goneAt is when a leaving engine will be gone, by the time that its entry stated first, statedLeave; zero if not known.
+	goneAt      time.Time
+	statedLeave identifier.Duration
 }
 
 // contradiction is a version in an engine's list entry that a response has shown to be wrong. It holds until the entry changes,
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -175,4 +175,6 @@
 	StopMaxAge       StopReason = "max_age"
 	StopRouteGone    StopReason = "route_gone"
 	StopEngineGone   StopReason = "engine_gone"
+	// StopEngineLeaving means that the engine will be gone before the run could end.
+	StopEngineLeaving StopReason = "engine_leaving"
 )
