--- a/service/placer/division.go
+++ b/service/placer/division.go
@@ -13,6 +13,9 @@
 const (
 	// demandMaxAge is how long a stated demand holds; owners of jobs state it once a second.
 	demandMaxAge = 5 * time.Second
+	// silenceTime is how long the demand of a model of which nothing is heard, while others are stated, counts as unchanged, and
+	// as the mean of the others' if nothing was heard of it before. Hosts with an older build own its jobs, or it is idle.
+	silenceTime = 3 * time.Minute
 	// divisionMemory is how long a pool without any demand is still divided one engine at a time; after it the pool is divided as
 	// one whose models never had a demand.
 	divisionMemory = time.Minute
@@ -76,10 +79,10 @@
 // division divides the engines of one pool among its models in proportion to their smoothed demand. It holds a few numbers for
 // each model.
 type division struct {
-	// stated is the last demand of each model, and heldUntil how long it holds when statements leave the model out: its jobs may
-	// be changing hosts.
+	// stated is the last demand of each model, and heardAt when it was stated; beganAt is when the first demand of any was.
 	stated    map[identifier.ModelName]Demand
-	heldUntil map[identifier.ModelName]time.Time
+	heardAt   map[identifier.ModelName]time.Time
+	beganAt   time.Time
 	statedAt  time.Time
 	updatedAt time.Time
 	smoothed  map[identifier.ModelName]float64
@@ -104,7 +107,7 @@
 			pl.division = &division{
 				smoothed: make(map[identifier.ModelName]float64), lateness: make(map[identifier.ModelName]float64),
 				wanted: make(map[modelPair]time.Time), stated: make(map[identifier.ModelName]Demand),
-				heldUntil: make(map[identifier.ModelName]time.Time),
+				heardAt: make(map[identifier.ModelName]time.Time), beganAt: now,
 			}
 		}
 		pl.division.advance(now, pl.models)
@@ -117,22 +120,20 @@
 	d.statedAt = now
 	for _, model := range models {
 		stated, ok := demand[model]
-		switch {
-		case ok:
-			d.stated[model] = stated
-			d.heldUntil[model] = now.Add(demandMaxAge)
-		case now.After(d.heldUntil[model]):
-			delete(d.stated, model)
+		if !ok {
+			continue
 		}
-		if ok && d.smoothed[model] < minDemand {
+		d.stated[model] = stated
+		d.heardAt[model] = now
+		if d.smoothed[model] < minDemand {
 			// The first demand of a model counts at once; a move still waits until it persists.
 			d.smoothed[model] = stated.EventsPerSecond
 		}
 	}
 }
 
-// advance moves the smoothed demand towards the stated one, which holds for demandMaxAge; after that the smoothed demand stays
-// until the demand is stated again.
+// advance moves the smoothed demand towards the stated one, which holds for demandMaxAge. After that the smoothed demand stays until
+// the demand is stated again, or for silenceTime while that of other models is stated.
 func (d *division) advance(now time.Time, models []identifier.ModelName) {
 	elapsed := now.Sub(d.updatedAt).Seconds()
 	first := d.updatedAt.IsZero()
@@ -142,6 +143,11 @@
 	}
 	for _, model := range models {
 		stated := d.stated[model]
+		if silence := now.Sub(d.heardAt[model]); silence > silenceTime {
+			stated = Demand{}
+		} else if silence > demandMaxAge {
+			continue
+		}
 		constant := riseTime
 		if stated.EventsPerSecond < d.smoothed[model] {
 			constant = fallTime
@@ -162,11 +168,22 @@
 // targets returns the engines that each model should have, which sum up to the engines of the pool. Each model gets at least one;
 // models share equally while no demand is known.
 func (d *division) targets(now time.Time, models []identifier.ModelName, engines int) map[identifier.ModelName]float64 {
+	if !d.current(now) {
+		return divide(models, nil, engines)
+	}
 	weights := make(map[identifier.ModelName]float64, len(models))
+	var unknown []identifier.ModelName
+	total := 0.0
 	for _, model := range models {
-		if d.current(now) {
-			weights[model] = d.smoothed[model] * max(1, d.lateness[model])
+		if _, heard := d.heardAt[model]; !heard && now.Sub(d.beganAt) <= silenceTime {
+			unknown = append(unknown, model)
+			continue
 		}
+		weights[model] = d.smoothed[model] * max(1, d.lateness[model])
+		total += weights[model]
+	}
+	for _, model := range unknown {
+		weights[model] = total / float64(len(models)-len(unknown))
 	}
 	return divide(models, weights, engines)
 }
--- a/service/placer/division_test.go
+++ b/service/placer/division_test.go
@@ -127,7 +127,7 @@
 	f := newFleet(9)
 	f.announce(2, models...)
 	f.run(t)
-	f.state(t, 60, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 5000}})
+	f.state(t, 60, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 5000}, "m1": {}, "m2": {}})
 	require.Equal(t, 1, f.shares()["m1"].Engines)
 	require.Equal(t, 1, f.shares()["m2"].Engines)
 	require.Equal(t, 7, f.shares()["m0"].Engines)
@@ -142,6 +142,22 @@
 	}
 }
 
+// Guards against a model that loses its engines because an older build, which states no demand, owns its jobs: it keeps the share
+// that it had, or an equal one, for some minutes.
+func TestSilentModelKeepsItsShare(t *testing.T) {
+	f := newFleet(18)
+	f.announce(2, models...)
+	f.run(t)
+	f.state(t, 60, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 600}, "m1": {EventsPerSecond: 600}})
+	require.Equal(t, 6, f.shares()["m2"].Engines)
+	f.state(t, 60, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 600}, "m1": {EventsPerSecond: 600}, "m2": {EventsPerSecond: 1200}})
+	require.InDelta(t, 9, f.shares()["m2"].Engines, 1)
+	f.state(t, 120, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 600}, "m1": {EventsPerSecond: 600}})
+	require.InDelta(t, 9, f.shares()["m2"].Engines, 1)
+	f.state(t, 180, map[identifier.ModelName]placer.Demand{"m0": {EventsPerSecond: 600}, "m1": {EventsPerSecond: 600}})
+	require.LessOrEqual(t, f.shares()["m2"].Engines, 2)
+}
+
 // Guards against many loads when another host acquires the lease: the substitute has the demand, so it infers the uneven
 // division from the engines' weights and keeps it. Without demand it divides equally, as a host does that knows none.
 func TestNewHolderKeepsTheUnevenDivision(t *testing.T) {
--- a/service/scaler/doc.go
+++ b/service/scaler/doc.go
@@ -5,6 +5,6 @@
 // an engine, so there is capacity for the peak of the last 30 s with a quarter in reserve, and for the loss of the preemptible
 // engines of any zone; engines are ordered at once and given back slowly.
 //
-// Scaler is the state machine. It holds a few numbers for each engine, and 30 s of peaks for each model and pool. Driver sends its
+// Scaler is the state machine. It holds a few numbers for each engine, and 30 s of peaks for each pool. Driver sends its
 // orders, under the lease for duties.
 package scaler
--- a/service/scaler/plan.go
+++ b/service/scaler/plan.go
@@ -12,6 +12,8 @@
 const (
 	// reservePart is the reserve as a part of the peak.
 	reservePart = 0.25
+	// maxNeeded bounds the engines that any statement of work can call for.
+	maxNeeded = 1e6
 	// surplusTime is how long an engine must not have been needed before one is given back, and lowerInterval the least time
 	// between two of a zone.
 	surplusTime   = 15 * time.Second
@@ -36,7 +38,8 @@
 		known.settle(now, p.boot())
 	}
 	peak := p.work(now)
-	needed := int(math.Ceil((1 + reservePart) * peak / float64(p.engineSlots())))
+	needed := int(min(maxNeeded, math.Ceil((1+reservePart)*peak/float64(p.engineSlots()))))
+	needed = max(needed, p.models)
 	p.fillMinimum(now)
 	p.raise(now, needed)
 	p.lower(now, needed)
--- a/service/scaler/scaler.go
+++ b/service/scaler/scaler.go
@@ -41,6 +41,7 @@
 	name    identifier.PoolName
 	bounds  codec.Autoscale
 	slots   int
+	models  int
 	stocks  map[place]*stock
 	engines map[identifier.UpstreamID]*engine
 
@@ -48,10 +49,8 @@
 	demandAt time.Time
 	// knownSince is when the work on the engines was known first, and knownAt when it was known last.
 	knownSince, knownAt time.Time
-	// peaks holds the peaks of the work of each model's batch jobs, and that of all other work under the empty name.
-	peaks map[identifier.ModelName]*peak
-	// running holds the peaks of the items that run.
-	running peak
+	// jobs holds the peaks of the items that run or wait, running of those that run, and other of all other requests.
+	jobs, running, other peak
 	// readyAt is when orders are allowed after this host acquired the lease.
 	readyAt time.Time
 	// surplusSince is since when an engine was not needed, or zero; loweredAt is the last reduction of each zone.
@@ -120,12 +119,13 @@
 		if !ok {
 			p = &pool{
 				name: spec.Name, stocks: make(map[place]*stock), engines: make(map[identifier.UpstreamID]*engine),
-				peaks: make(map[identifier.ModelName]*peak), loweredAt: make(map[identifier.Zone]time.Time),
+				loweredAt: make(map[identifier.Zone]time.Time),
 			}
 			p.replaceEngines(now, s.listed[spec.Name])
 		}
 		p.bounds = *spec.Autoscale
 		p.slots = spec.Slots
+		p.models = len(spec.Models)
 		next[spec.Name] = p
 	}
 	s.pools = next
@@ -254,18 +254,20 @@
 	}
 }
 
-// record adds the present work to the peaks: the items of batch jobs by model, and the other work on the engines.
+// record adds the present work to the peaks. The models of a pool share its reserve: their peaks seldom coincide, and engines are
+// divided among them by demand.
 func (p *pool) record(now time.Time) {
 	if now.Sub(p.demandAt) <= demandMaxAge {
-		running := 0
-		for model, stated := range p.demand {
-			work := float64(stated.RunningItems + stated.WaitingItems)
+		running, work := 0, 0.0
+		for _, stated := range p.demand {
+			items := float64(stated.RunningItems + stated.WaitingItems)
 			if stated.Late {
-				work *= lateWeight
+				items *= lateWeight
 			}
 			running += stated.RunningItems
-			p.peakOf(model).add(now, work)
+			work += items
 		}
+		p.jobs.add(now, work)
 		p.running.add(now, float64(running))
 	}
 	load, ok := p.load(now)
@@ -277,7 +279,7 @@
 	}
 	p.knownAt = now
 	// The loads may be as old as loadMaxAge, so the items that they contain are those that ran at some time since then.
-	p.peakOf("").add(now, max(0, load-p.running.highestOf(now, loadMaxAge+demandMaxAge)))
+	p.other.add(now, max(0, load-p.running.highestOf(now, loadMaxAge+demandMaxAge)))
 }
 
 // load estimates the requests on the engines from those whose load is known. Engines that were listed only now count as idle.
@@ -301,27 +303,8 @@
 	return float64(requests) * min(maxExtrapolation, float64(engines)/float64(heard)), true
 }
 
-func (p *pool) peakOf(model identifier.ModelName) *peak {
-	known, ok := p.peaks[model]
-	if !ok {
-		known = &peak{}
-		p.peaks[model] = known
-	}
-	return known
-}
-
-// work returns the sum of the peaks. Peaks of different models are added, because engines serve one model at a time.
-func (p *pool) work(now time.Time) float64 {
-	sum := 0.0
-	for model, known := range p.peaks {
-		highest := known.highest(now)
-		if highest == 0 {
-			delete(p.peaks, model)
-		}
-		sum += highest
-	}
-	return sum
-}
+// work returns the work at the peak of the last peakWindow.
+func (p *pool) work(now time.Time) float64 { return p.jobs.highest(now) + p.other.highest(now) }
 
 // engineSlots returns the slots of one engine: the fewest that a listed one has.
 func (p *pool) engineSlots() int {
