--- a/service/authorizer/authorizer.go
+++ b/service/authorizer/authorizer.go
@@ -29,7 +29,8 @@
 	Secret Secret
 	// SureWithin is the age of a confirmation up to which an unknown key is refused for good; zero means DefaultSureWithin.
 	SureWithin time.Duration
-	// Strict refuses requests with a key once the configuration was not confirmed as current for RevokeWithin.
+	// Strict refuses requests with a key once the configuration was not confirmed as current for RevokeWithin; zero means
+	// DefaultSureWithin.
 	Strict       bool
 	RevokeWithin time.Duration
 }
@@ -99,6 +100,9 @@
 	if config.SureWithin <= 0 {
 		config.SureWithin = DefaultSureWithin
 	}
+	if config.RevokeWithin <= 0 {
+		config.RevokeWithin = DefaultSureWithin
+	}
 	a := &Authorizer{
 		config: config, revision: catalogue.Revision, required: catalogue.KeysRequired, keys: make(map[uint64][]holder),
 	}
