limiter, batcher, translator: priorities of customers, and shares of customers in queues and among jobs

Cause: a customer's priority had no effect, and one customer's load took the queue of an entry and the engines of a model from all others. Change: better ranks are admitted first, but for one in eight admissions; within a rank customers are served by start-time fair queueing, charged by slot time, and a full queue drops the newest request of the customer that has most of it. Jobs are ordered by due times shifted by the priority, and customers of one priority take turns by their runs. Upstreams are told Request-Priority where the customer has a priority. Log lines of requests name the customer, its rank and the wait.

--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -36,6 +36,7 @@
 	{"celerygap_invariant_checks", "checks", []string{"invariant"}, "Checks of the program on itself."},
 	{"celerygap_invariant_failures", "checks", []string{"invariant"}, "Failed checks of the program on itself."},
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
+	{"celerygap_admission_wait", "s", []string{"entry", "priority"}, "Time that requests of customers waited for their admission or refusal, by the priority of the customer; 9 stands for all lower ones."},
 	{"celerygap_key_checks", "requests", []string{"outcome"}, "Requests by the result of the check of their key, where keys are required."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
@@ -54,6 +55,7 @@
 	staleness metric.Float64Histogram
 	wait      metric.Float64Counter
 	keys      metric.Int64Counter
+	admission metric.Float64Histogram
 	store     metric.Int64Counter
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
@@ -83,6 +85,7 @@
 	m.delivered = b.counter("celerygap_samples_delivered")
 	m.staleness = b.histogram("celerygap_sample_staleness")
 	m.keys = b.counter("celerygap_key_checks")
+	m.admission = b.histogram("celerygap_admission_wait")
 	m.store = b.counter("celerygap_store_calls")
 	m.peer = b.counter("celerygap_peer_calls")
 	m.bytes = b.counter("celerygap_peer_bytes")
@@ -134,6 +137,15 @@
 	m.wait.Add(context.Background(), seconds, metric.WithAttributes(attribute.String("trainer", trainer)))
 }
 
+// lowestPriority bounds the values of the label priority.
+const lowestPriority = 9
+
+// WaitedForAdmission records the seconds that a request of a customer waited for its admission or refusal.
+func (m *Meter) WaitedForAdmission(entry string, priority int, seconds float64) {
+	m.admission.Record(context.Background(), seconds, metric.WithAttributes(
+		attribute.String("entry", entry), attribute.Int("priority", min(priority, lowestPriority))))
+}
+
 // KeyChecked counts a check of a key by its outcome.
 func (m *Meter) KeyChecked(outcome string) {
 	m.keys.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -174,6 +174,7 @@
 		switch {
 		case ok:
 			j.entry = entry
+			j.customerPriority = event.Priorities[j.job.Customer]
 			j.routed = true
 			for _, it := range j.items {
 				if it.state == itemWaiting && !it.allowedIn(j) {
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -223,7 +223,13 @@
 
 // routes returns the entry in effect for each job that this host owns; d.mu must be held.
 func (d *Driver) routes() RoutesChanged {
-	event := RoutesChanged{Entries: make(map[identifier.BatchID]codec.Entry, len(d.owned))}
+	event := RoutesChanged{
+		Entries:    make(map[identifier.BatchID]codec.Entry, len(d.owned)),
+		Priorities: make(map[identifier.CustomerName]*int),
+	}
+	for _, customer := range d.config.Catalogue.Current().Customers {
+		event.Priorities[customer.Name] = customer.Priority
+	}
 	for id, h := range d.owned {
 		if entry, ok := d.config.Match(h.job.Host, h.job.Path); ok && entry.Batch != nil {
 			event.Entries[id] = entry
@@ -291,7 +297,7 @@
 	last := started
 	err := d.config.Runner.Run(ctx, connector.ItemRun{
 		Upstream: upstream, Item: c.Item, Host: c.Host, After: c.After,
-		Customer: c.Customer, KeysRequired: d.config.Catalogue.Current().KeysRequired,
+		Customer: c.Customer, KeysRequired: d.config.Catalogue.Current().KeysRequired, Priority: c.Priority,
 		OnEvent: func(event connector.RunEvent) error {
 			events++
 			now := time.Now()
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -34,6 +34,8 @@
 // RoutesChanged gives the entry in effect for each open job; the items of a job without one can no longer run.
 type RoutesChanged struct {
 	Entries map[identifier.BatchID]codec.Entry
+	// Priorities holds the priorities of the customers; a nil one means that the customer has none.
+	Priorities map[identifier.CustomerName]*int
 }
 
 // EnginesChanged replaces the usable engines of all pools.
@@ -114,6 +116,7 @@
 	Host string
 	// Customer owns the job; empty if there is none.
 	Customer identifier.CustomerName
+	Priority *int
 	Item     *codec.BatchItem
 	Engine   codec.ListedHost
 	After    identifier.EventNumber
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -81,6 +81,8 @@
 type job struct {
 	job   codec.BatchJob
 	entry codec.Entry
+	// customerPriority is the priority of the customer in the configuration in effect; nil if it has none.
+	customerPriority *int
 	// routed is set once an entry has been in effect for the job; until then its items do not run.
 	routed      bool
 	submittedAt time.Time
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -9,7 +9,8 @@
 )
 
 // schedule starts waiting items on free engines and sends the reward calls of complete texts. Jobs are ordered by their
-// due times and then by the priority of their routes. Within a job the longest texts start first: a long text that starts
+// due times, shifted by the priority of their customers, and then by the priority of their routes; customers of one priority take
+// turns. Within a job the longest texts start first: a long text that starts
 // late delays its group, and more engines would not make it faster.
 func (b *Batcher) schedule(now time.Time) {
 	clear(b.withoutTurn)
@@ -17,11 +18,23 @@
 	for _, j := range open {
 		b.startRewards(now, j)
 	}
+	if t := newTurns(open, b.runs); t != nil {
+		t.start(func(s *starter) bool { return b.startNext(now, s) })
+		return
+	}
 	for _, j := range open {
 		b.startItems(now, j)
 	}
 }
 
+// startItems starts waiting items of a job until no engine is free.
+func (b *Batcher) startItems(now time.Time, j *job) {
+	s := &starter{job: j}
+	for started := true; started; {
+		started = b.startNext(now, s)
+	}
+}
+
 func (b *Batcher) openJobs() []*job {
 	var open []*job
 	for _, j := range b.jobs {
@@ -30,7 +43,7 @@
 		}
 	}
 	slices.SortFunc(open, func(x, y *job) int {
-		return cmp.Or(x.due().Compare(y.due()), cmp.Compare(x.priority(), y.priority()), cmp.Compare(x.job.ID, y.job.ID))
+		return cmp.Or(x.order().Compare(y.order()), cmp.Compare(x.priority(), y.priority()), cmp.Compare(x.job.ID, y.job.ID))
 	})
 	return open
 }
@@ -52,9 +65,11 @@
 	}
 }
 
-// startItems starts waiting items of a job until no engine is free.
-func (b *Batcher) startItems(now time.Time, j *job) {
-	for _, it := range j.startOrder {
+// startNext starts the next waiting item of a job; it returns false once there is none or no engine is free.
+func (b *Batcher) startNext(now time.Time, s *starter) bool {
+	j := s.job
+	for ; s.next < len(j.startOrder); s.next++ {
+		it := j.startOrder[s.next]
 		if it.state != itemWaiting || it.complete || now.Before(it.notBefore) || it.run != nil {
 			continue
 		}
@@ -67,10 +82,12 @@
 			e = b.chooseWithTurn(now, j, it)
 		}
 		if e == nil {
-			return
+			return false
 		}
 		b.startRun(now, j, it, e)
+		return true
 	}
+	return false
 }
 
 // restartPays reports whether the text of an item that no free engine may continue starts again on another one, if one is free:
@@ -150,5 +167,8 @@
 	it.blockedSince = time.Time{}
 	e.inFlight++
 	b.promptEngines[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
-	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Customer: j.job.Customer, Item: it.spec, Engine: e.host, After: it.lastEvent()})
+	b.emit(StartRun{
+		Run: r.id, Job: j.job.ID, Host: j.job.Host, Customer: j.job.Customer, Priority: j.customerPriority,
+		Item: it.spec, Engine: e.host, After: it.lastEvent(),
+	})
 }
--- a/service/connector/batch.go
+++ b/service/connector/batch.go
@@ -18,6 +18,8 @@
 	// in a header of the item.
 	Customer     identifier.CustomerName
 	KeysRequired bool
+	// Priority is that of the customer; nil if it has none. Zero is the highest.
+	Priority *int
 	// After is the number of the last event received so far; zero starts from the beginning.
 	After identifier.EventNumber
 	// OnEvent receives each event in order; an error ends the run.
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -36,6 +36,11 @@
 	pool        identifier.PoolName
 	class       codec.EntryClass
 	priority    int
+	// customer is that of the caller; rank follows from its priority, and better ones are lower.
+	customer identifier.CustomerName
+	rank     int
+	// waited is how long the request waited for admission.
+	waited      time.Duration
 	idempotent  bool
 	hasKey      bool
 	fingerprint identifier.Fingerprint
@@ -118,14 +123,26 @@
 	}
 }
 
+// usualPriority is the priority of requests whose customer has none.
+const usualPriority = 5
+
+// setCustomer sets the customer of a request and its rank.
+func (j *job) setCustomer(request connector.PlainRequest) {
+	j.customer = request.Customer
+	if request.Priority != nil {
+		j.rank = *request.Priority - usualPriority
+	}
+}
+
 // admit waits until the limiter admits the request.
 func (j *job) admit(ctx context.Context) *refuser.Refusal {
 	d := j.d
 	id := limiter.RequestID(j.id)
+	defer j.recordWait(time.Now())
 	decision := make(chan limiter.Command, 1)
 	d.mu.Lock()
 	d.admissionWaiters[id] = decision
-	d.handleLimiter(limiter.Arrived{ID: id, Entry: j.entry.Name, Class: j.class, Priority: j.priority, Deadline: j.deadline})
+	d.handleLimiter(limiter.Arrived{ID: id, Entry: j.entry.Name, Class: j.class, Rank: j.rank, Priority: j.priority, Customer: j.customer, Deadline: j.deadline})
 	waits := d.limiter.Waiting() > 0
 	d.mu.Unlock()
 	if waits {
@@ -152,6 +169,14 @@
 	return j.refuseContextEnded(ctx)
 }
 
+// recordWait records how long the request waited for its admission or refusal.
+func (j *job) recordWait(since time.Time) {
+	j.waited = time.Since(since)
+	if j.customer != "" {
+		j.d.config.Meter.WaitedForAdmission(string(j.entry.Name), j.rank+usualPriority, j.waited.Seconds())
+	}
+}
+
 // wakeQueueTicks makes Run send ticks to the limiter's queue; Run stops them once no request waits.
 func (d *Dispatcher) wakeQueueTicks() {
 	select {
@@ -206,13 +231,13 @@
 	if refusal == nil {
 		d.config.Meter.Completed(string(j.entry.Name), time.Since(j.accepted).Seconds())
 		d.config.Log.Info(logger.RequestCompleted).Str("request", j.requestID).Str("entry", string(j.entry.Name)).
-			Str("upstream", string(j.respondedBy.ID)).Str("software", string(j.respondedBy.Software)).Int("attempts", j.attempts).Int("upstream_failures", j.failures).
-			Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).Send()
+			Str("customer", string(j.customer)).Str("upstream", string(j.respondedBy.ID)).Str("software", string(j.respondedBy.Software)).Int("attempts", j.attempts).Int("upstream_failures", j.failures).
+			Dur("waited", j.waited).Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).Send()
 		return
 	}
 	d.config.Meter.Refused(string(j.entry.Name), refusal)
 	d.config.Log.Info(logger.RequestRefused).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("reason", string(refusal.Reason)).
-		Str("outcome", string(refusal.Outcome)).
+		Str("outcome", string(refusal.Outcome)).Str("customer", string(j.customer)).Int("rank", j.rank).Dur("waited", j.waited).
 		Int("attempts", j.attempts).Dur("took", time.Since(j.accepted)).Int64("revision", int64(d.config.Catalogue.Current().Revision)).
 		Msg(refusal.Detail)
 	asserter.Check(asserter.NotRunIsTrue, refusal.Outcome != codec.OutcomeNotRun || j.maybeRun == 0,
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -51,6 +51,7 @@
 	j.hasKey = request.IdempotencyKey != "" && j.entry.Route == nil
 	j.fingerprint = plainFingerprint(request)
 	j.sound = request.Sound
+	j.setCustomer(request)
 	j.setDeadline(request.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
--- a/service/limiter/entry.go
+++ b/service/limiter/entry.go
@@ -34,6 +34,10 @@
 	queueDefault  int
 	queueLimit    int
 	waiting       [numberOfClasses][]*request
+	// clocks hold the virtual times by which customers take turns; passed counts the admissions since one of a lower rank, while
+	// requests of lower ranks wait.
+	clocks map[clockKey]*clock
+	passed [numberOfClasses]int
 	// expectedDuration is the moving average of the time that admitted requests take.
 	expectedDuration time.Duration
 	retries          *retryBudget
@@ -42,8 +46,8 @@
 func newEntry(name identifier.EntryName, config Config) *entry {
 	e := &entry{
 		name: name, pool: noPool, share: fullShare,
-		queueDefault: config.Queue,
-		retries:      newRetryBudget(config),
+		queueDefault: config.Queue, clocks: make(map[clockKey]*clock),
+		retries: newRetryBudget(config),
 	}
 	return e
 }
@@ -183,15 +187,6 @@
 	return count
 }
 
-// before reports whether a runs before b, a request of the same entry and class: higher priorities first, then in order of
-// arrival.
-func before(a, b *request) bool {
-	if a.priority != b.priority {
-		return a.priority > b.priority
-	}
-	return a.arrival < b.arrival
-}
-
 func (e *entry) insert(r *request) {
 	queue := e.waiting[r.class]
 	at := len(queue)
@@ -205,14 +200,6 @@
 	e.waiting[r.class] = slices.DeleteFunc(e.waiting[r.class], func(other *request) bool { return other == r })
 }
 
-// head returns the waiting request of a class that runs first, or nil.
-func (e *entry) head(class int) *request {
-	if len(e.waiting[class]) == 0 {
-		return nil
-	}
-	return e.waiting[class][0]
-}
-
 // expired returns the waiting requests that would finish after their deadline if they started now.
 func (e *entry) expired(now time.Time) []*request {
 	var found []*request
--- a/service/limiter/events.go
+++ b/service/limiter/events.go
@@ -39,12 +39,18 @@
 	Load  int
 }
 
-// Arrived reports a new request; the command for it is Admitted, Queued or Refused. A zero Deadline means none.
+// Arrived reports a new request; the command for it is Admitted, Queued or Refused. If it is queued in place of another request, a
+// Refused for that one follows. A zero Deadline means none.
 type Arrived struct {
-	ID       RequestID
-	Entry    identifier.EntryName
-	Class    codec.EntryClass
+	ID    RequestID
+	Entry identifier.EntryName
+	Class codec.EntryClass
+	// Rank orders requests before anything else but the class; lower ones run first, and the usual one is zero.
+	Rank int
+	// Priority orders the requests of one rank; higher ones run first.
 	Priority int
+	// Customer is the customer whose share of the entry's queue the request uses; requests without one share one.
+	Customer identifier.CustomerName
 	Deadline time.Time
 }
 
--- a/service/limiter/limiter.go
+++ b/service/limiter/limiter.go
@@ -64,7 +64,11 @@
 	entry    *entry
 	pool     *pool
 	class    int
+	rank     int
 	priority int
+	customer identifier.CustomerName
+	// start is the virtual time at which the request may start.
+	start    float64
 	arrival  uint64
 	deadline time.Time
 	admitted time.Time
@@ -165,22 +169,31 @@
 	l.arrivals++
 	r := &request{
 		id: e.ID, entry: target, pool: l.pool(target.pool), class: classOf(e.Class), priority: e.Priority,
-		arrival: l.arrivals, deadline: e.Deadline,
+		rank: e.Rank, customer: e.Customer, arrival: l.arrivals, deadline: e.Deadline,
 	}
+	target.clock(r).stamp(r)
 	target.retries.addRequest(now)
 	wait := l.expectedWait(now, r)
 	if wait == 0 && target.canRun(now) && r.pool.canRun(r.class) {
+		target.clock(r).enter(r)
 		l.admit(now, r)
 		return []Command{Admitted{e.ID}}
 	}
 	if !r.deadline.IsZero() && now.Add(wait+target.expectedDuration).After(r.deadline) {
 		return []Command{Refused{e.ID, refuser.DeadlineTooShort, bounded(wait)}}
 	}
-	if target.queued(r.class) >= target.queueCapacity(r.class) {
+	if target.queued(r.class) < target.queueCapacity(r.class) {
+		l.enqueue(r)
+		return []Command{Queued{e.ID}}
+	}
+	displaced := target.displaced(r)
+	if displaced == nil {
 		return []Command{Refused{e.ID, target.fullReason(now), bounded(wait)}}
 	}
+	wait = l.expectedWait(now, displaced)
+	l.withdraw(displaced)
 	l.enqueue(r)
-	return []Command{Queued{e.ID}}
+	return []Command{Queued{e.ID}, Refused{displaced.id, target.fullReason(now), bounded(wait)}}
 }
 
 func classOf(class codec.EntryClass) int {
@@ -197,6 +210,11 @@
 	for class := classLive; class <= r.class; class++ {
 		poolAhead += r.pool.waiting[class]
 	}
+	// The requests of the entry that run after this one do not delay it.
+	poolAhead -= r.entry.queued(r.class) - ahead
+	if _, waits := l.requests[r.id]; waits {
+		poolAhead++
+	}
 	capacity := r.pool.limits[r.class]
 	return max(
 		r.entry.tokenWait(now, ahead),
@@ -221,6 +239,7 @@
 
 func (l *Limiter) admit(now time.Time, r *request) {
 	r.entry.admit(now)
+	r.entry.clock(r).admit(r)
 	r.pool.inFlight[r.class]++
 	r.running = true
 	r.admitted = now
@@ -228,6 +247,7 @@
 }
 
 func (l *Limiter) enqueue(r *request) {
+	r.entry.clock(r).enter(r)
 	r.entry.insert(r)
 	r.pool.waiting[r.class]++
 	l.requests[r.id] = r
@@ -239,10 +259,16 @@
 	delete(l.requests, r.id)
 }
 
+// withdraw removes a waiting request that does not run.
+func (l *Limiter) withdraw(r *request) {
+	l.dequeue(r)
+	r.entry.clock(r).withdraw(r)
+}
+
 // cancel removes a waiting request; a running one stays until Finished.
 func (l *Limiter) cancel(id RequestID) {
 	if r, ok := l.requests[id]; ok && !r.running {
-		l.dequeue(r)
+		l.withdraw(r)
 	}
 }
 
@@ -255,6 +281,7 @@
 	delete(l.requests, id)
 	r.entry.inFlight--
 	r.pool.inFlight[r.class]--
+	r.entry.clock(r).charge(r, now.Sub(r.admitted), r.entry.expectedDuration)
 	r.entry.updateExpectedDuration(now.Sub(r.admitted))
 	asserter.Check(asserter.InFlightNeverNegative, r.entry.inFlight >= 0 && r.pool.inFlight[r.class] >= 0,
 		"entry %s has %d requests in flight, its pool %d of the same class", r.entry.name, r.entry.inFlight, r.pool.inFlight[r.class])
@@ -267,7 +294,7 @@
 		e := l.entries[name]
 		for _, r := range e.expired(now) {
 			wait := l.expectedWait(now, r)
-			l.dequeue(r)
+			l.withdraw(r)
 			commands = append(commands, Refused{r.id, refuser.DeadlineTooShort, bounded(wait)})
 		}
 	}
@@ -283,13 +310,14 @@
 			return commands
 		}
 		l.dequeue(r)
+		r.entry.recordTurn(r)
 		l.admit(now, r)
 		commands = append(commands, Admitted{r.id})
 	}
 }
 
 // next returns the waiting request to admit next, or nil. Live requests come before training requests. Within a class it is
-// the first request of the entry that uses the smallest fraction of its own limit, so that entries share a pool in proportion
+// the first request with the best rank, and among those that of the entry that uses the smallest fraction of its own limit, so that entries share a pool in proportion
 // to their limits.
 func (l *Limiter) next(now time.Time) *request {
 	for class := range numberOfClasses {
@@ -311,7 +339,7 @@
 	return nil
 }
 
-// compareHeads orders the first requests of two entries by the usage of the entries, then by arrival.
+// compareHeads orders the first requests of two entries by their ranks, the usage of the entries, and arrival.
 func compareHeads(a, b *request) int {
-	return cmp.Or(cmp.Compare(a.entry.usage(), b.entry.usage()), cmp.Compare(a.arrival, b.arrival))
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.entry.usage(), b.entry.usage()), cmp.Compare(a.arrival, b.arrival))
 }
