profiler: one picture of each upstream

Cause: router, batcher and placer kept pictures of their own. Change: a state machine with the stated load and its age, own attempts, long-run and present speed and their errors. The stated load of others goes over to the mean of the pool with its age; statements that contradict observed work are ignored. Tests: go test -race ./service/profiler.

--- /dev/null
+++ b/service/profiler/profiler.go
@@ -0,0 +1,250 @@
+package profiler
+
+import (
+	"math"
+	"time"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+)
+
+const (
+	// maxUpstreams bounds the upstreams of which a picture is kept; it is twice the largest planned fleet.
+	maxUpstreams = 6000
+	// travelTime is the age that an own attempt must have to be counted in a load that arrives now. Attempts that were started
+	// later have not reached the upstream yet.
+	travelTime = 2 * time.Millisecond
+	// othersHalfLife is the age at which half of the stated load of others is replaced by the mean of the pool: a run takes one
+	// to three seconds, so about half of what others had there has ended by then.
+	othersHalfLife = 2 * time.Second
+	// maxStatementAge is the age at which the stated load of others no longer counts.
+	maxStatementAge = 10 * time.Second
+	// statingTime is how long a pool counts as one whose upstreams state their speed after the last such statement.
+	statingTime = time.Minute
+	// minSlowness and maxSlowness bound a believable statement.
+	minSlowness = 0.1
+	maxSlowness = 20
+	// falseStatements is the mean deviation, as a logarithm, of the stated from the observed speed above which statements are
+	// not believed: a factor of two.
+	falseStatements = math.Ln2
+)
+
+// Config configures a Profiler.
+type Config struct{}
+
+// Profiler is the state machine; it is not safe for concurrent use.
+type Profiler struct {
+	upstreams map[identifier.UpstreamID]*record
+	pools     map[identifier.PoolName]*poolRecord
+}
+
+// poolRecord holds what an upstream without knowledge of its own is taken for.
+type poolRecord struct {
+	// work is the observed work of all upstreams.
+	work rate
+	// statements is the mean of the stated slowness.
+	statements average
+	// others is the mean of the load of others per slot, over statements.
+	others   average
+	statedAt time.Time
+	members  int
+}
+
+// New returns a profiler without upstreams.
+func New(Config) *Profiler {
+	return &Profiler{upstreams: make(map[identifier.UpstreamID]*record), pools: make(map[identifier.PoolName]*poolRecord)}
+}
+
+// Event is an input of the state machine.
+type Event interface{ isEvent() }
+
+// Listed adds an upstream or updates its pool and slots. A restarted upstream must be removed first.
+type Listed struct {
+	Upstream identifier.UpstreamID
+	Pool     identifier.PoolName
+	// Slots is the number of slots in the list; zero means that only statements tell.
+	Slots int
+}
+
+// Removed discards the picture of an upstream.
+type Removed struct{ Upstream identifier.UpstreamID }
+
+// Stated delivers the load that an upstream has stated in a response that arrives now.
+type Stated struct {
+	Upstream identifier.UpstreamID
+	Load     codec.LoadReport
+}
+
+// Started counts an attempt of this host.
+type Started struct{ Upstream identifier.UpstreamID }
+
+// Ended counts the end of an attempt that started at StartedAt.
+type Ended struct {
+	Upstream  identifier.UpstreamID
+	StartedAt time.Time
+}
+
+// Worked delivers the time that an upstream took for an amount of work: one event of a run, or the expected work of a call in
+// usual seconds. The upstreams of a pool must be measured in the same unit.
+type Worked struct {
+	Upstream identifier.UpstreamID
+	Amount   float64
+	Took     time.Duration
+}
+
+func (Listed) isEvent()  {}
+func (Removed) isEvent() {}
+func (Stated) isEvent()  {}
+func (Started) isEvent() {}
+func (Ended) isEvent()   {}
+func (Worked) isEvent()  {}
+
+// Handle applies one event. Events of upstreams that are not listed have no effect.
+func (p *Profiler) Handle(now time.Time, event Event) {
+	switch e := event.(type) {
+	case Listed:
+		p.list(e)
+	case Removed:
+		p.remove(e.Upstream)
+	case Stated:
+		if r, ok := p.upstreams[e.Upstream]; ok {
+			p.state(now, r, e.Load)
+		}
+	case Started:
+		if r, ok := p.upstreams[e.Upstream]; ok {
+			r.start(now)
+		}
+	case Ended:
+		if r, ok := p.upstreams[e.Upstream]; ok {
+			r.end(e.StartedAt)
+		}
+	case Worked:
+		if r, ok := p.upstreams[e.Upstream]; ok {
+			r.worked(now, e.Amount, e.Took)
+			p.pools[r.pool].work.add(now, e.Amount, e.Took, longRunTime)
+		}
+	}
+}
+
+func (p *Profiler) list(e Listed) {
+	r, ok := p.upstreams[e.Upstream]
+	if ok && r.pool == e.Pool {
+		r.listedSlots = e.Slots
+		return
+	}
+	if ok {
+		p.remove(e.Upstream)
+	}
+	if len(p.upstreams) >= maxUpstreams {
+		return
+	}
+	p.upstreams[e.Upstream] = &record{pool: e.Pool, listedSlots: e.Slots}
+	pool, ok := p.pools[e.Pool]
+	if !ok {
+		pool = &poolRecord{}
+		p.pools[e.Pool] = pool
+	}
+	pool.members++
+}
+
+func (p *Profiler) remove(id identifier.UpstreamID) {
+	r, ok := p.upstreams[id]
+	if !ok {
+		return
+	}
+	delete(p.upstreams, id)
+	pool := p.pools[r.pool]
+	pool.members--
+	if pool.members == 0 {
+		delete(p.pools, r.pool)
+	}
+}
+
+func (p *Profiler) state(now time.Time, r *record, load codec.LoadReport) {
+	if load.Running < 0 || load.Queued < 0 || load.Slots < 0 {
+		return
+	}
+	pool := p.pools[r.pool]
+	r.running, r.waiting, r.statedAt = load.Running, load.Queued, now
+	if load.Slots > 0 {
+		r.statedSlots = load.Slots
+	}
+	r.others = max(0, load.Running+load.Queued-r.ownAt(now.Add(-travelTime)))
+	pool.others.add(now, float64(r.others)/float64(r.slots()), othersMeanTime)
+	if load.Slowness < minSlowness || load.Slowness > maxSlowness {
+		return
+	}
+	pool.statedAt = now
+	pool.statements.add(now, load.Slowness, longRunTime)
+	r.stateSlowness(now, load.Slowness)
+}
+
+// States reports whether upstreams of a pool state their speed.
+func (p *Profiler) States(now time.Time, pool identifier.PoolName) bool {
+	record, ok := p.pools[pool]
+	return ok && !record.statedAt.IsZero() && now.Sub(record.statedAt) <= statingTime
+}
+
+// StatesAny reports whether upstreams of any pool state their speed.
+func (p *Profiler) StatesAny(now time.Time) bool {
+	for name := range p.pools {
+		if p.States(now, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Picture is what a host believes of an upstream. Speeds are times per unit of work; zero means that nothing was observed in
+// the pool.
+type Picture struct {
+	Slots int
+	// Running and Waiting are as the upstream stated StatedAge ago; Stated is false if that is too long ago to say anything.
+	Running, Waiting int
+	StatedAge        time.Duration
+	Stated           bool
+	// Own is the number of this host's attempts and Others the expected number of those of other hosts.
+	Own    int
+	Others float64
+	// LongRun is the lasting time per unit of work, Present the one at this moment, which is expected to hold for Persists.
+	LongRun, Present time.Duration
+	Persists         time.Duration
+	// SlowFor is how long the upstream has been observed to be much slower than its long-run speed.
+	SlowFor time.Duration
+	// LongRunError and PresentError are the expected relative errors.
+	LongRunError, PresentError float64
+	// FalseStatements is set if the statements of the upstream contradict what the host observes; they are ignored then.
+	FalseStatements bool
+}
+
+// View returns the picture of an upstream; ok is false if it is not listed.
+func (p *Profiler) View(now time.Time, id identifier.UpstreamID) (picture Picture, ok bool) {
+	r, ok := p.upstreams[id]
+	if !ok {
+		return Picture{}, false
+	}
+	pool := p.pools[r.pool]
+	v := Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
+	v.Others = pool.others.mean * float64(v.Slots)
+	if !r.statedAt.IsZero() {
+		v.StatedAge = now.Sub(r.statedAt)
+		if v.Stated = v.StatedAge <= maxStatementAge; v.Stated {
+			v.Others += (float64(r.others) - v.Others) * math.Exp2(-float64(v.StatedAge)/float64(othersHalfLife))
+		}
+	}
+	r.speeds(now, pool, &v)
+	return v, true
+}
+
+// Expected returns the time that an amount of work takes on the upstream once it runs: at its present speed for as long as this
+// is expected to hold, at its long-run speed after that.
+func (v Picture) Expected(amount float64) time.Duration {
+	if v.Present <= 0 || v.LongRun <= 0 {
+		return time.Duration(amount * float64(v.LongRun))
+	}
+	first := float64(v.Persists) / float64(v.Present)
+	if amount <= first {
+		return time.Duration(amount * float64(v.Present))
+	}
+	return v.Persists + time.Duration((amount-first)*float64(v.LongRun))
+}
