batcher: engines are chosen and runs moved by the expected completion time

Cause: on pools of uneven engines the first choice of an engine was wrong too often, runs were cut because an engine was slow for a moment, and shared prompts were read again on many engines. Change: for pools whose engines state the fourth figure, an item goes to the engine on which its group is expected to be complete first, by the learned lengths of texts, the long-run and present speed, the load of other hosts and the prompt's reading. Runs move only from lastingly slow engines and within a budget of 2.5% of the items. Other pools are served as before. Tests: go test ./service/batcher.

--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -10,6 +10,7 @@
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/profiler"
 )
 
 const (
@@ -46,6 +47,7 @@
 	// schedule.
 	pacer       Pacer
 	withoutTurn map[identifier.UpstreamID]struct{}
+	completion  *completion
 	commands    []Command
 }
 
@@ -86,6 +88,7 @@
 		pacer: config.Pacer, withoutTurn: make(map[identifier.UpstreamID]struct{}),
 		jobs: make(map[identifier.BatchID]*job), engines: make(map[identifier.UpstreamID]*engine),
 		runs: make(map[RunID]*run), promptEngines: make(map[groupKey]identifier.UpstreamID),
+		completion: newCompletion(),
 	}
 }
 
@@ -109,6 +112,7 @@
 	case LoadReported:
 		if reporting, ok := b.engines[e.Engine]; ok {
 			reporting.applyLoad(now, e.Load)
+			b.completion.profile.Handle(now, profiler.Stated{Upstream: e.Engine, Load: e.Load})
 		}
 		return nil
 	case RunEnded:
@@ -141,6 +145,7 @@
 	}
 	j := newJob(event)
 	b.jobs[event.Job.ID] = j
+	b.completion.moveBudget = min(b.completion.moveBudget+movedShare*float64(len(j.items)), maxMoveBudget)
 	for _, it := range j.items {
 		if it.state != itemWaiting || len(it.events) > 0 {
 			continue
@@ -211,6 +216,7 @@
 			b.stop(it.run, StopJobEnded)
 		}
 		delete(b.promptEngines, groupKey{id, it.spec.Group})
+		delete(b.completion.groupEngines, groupKey{id, it.spec.Group})
 	}
 	b.emit(NotifyReaders{Job: id})
 }
@@ -238,6 +244,7 @@
 	it, j := r.item, r.job
 	if r.receivedEvent {
 		r.engine.measure(now, now.Sub(r.lastEventAt))
+		b.completion.profile.Handle(now, profiler.Worked{Upstream: r.engine.host.ID, Amount: 1, Took: now.Sub(r.lastEventAt)})
 	}
 	r.measure(now)
 	r.receivedEvent = true
@@ -275,6 +282,7 @@
 	}
 	delete(b.runs, e.Run)
 	r.engine.inFlight--
+	b.completion.ended(now, r, e.Err == nil && r.stopped == "")
 	it, j := r.item, r.job
 	if it.run == r {
 		it.run = nil
--- /dev/null
+++ b/service/batcher/completion.go
@@ -0,0 +1,286 @@
+package batcher
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/profiler"
+)
+
+const (
+	// queueAhead is by how many runs an engine may be expected to be filled beyond its slots: so many that the next one begins
+	// as soon as a slot is free, and so few that it would hardly begin earlier elsewhere.
+	queueAhead = 1
+	// readPerSecond is the number of prompt tokens that an engine reads in a second; measured are 300,000 to 700,000.
+	readPerSecond = 500_000
+	// splitShare is the share of the time that a group has to spare before it is due that it may lose for an engine that does not
+	// have to read its shared prompt; minSplitCost and maxSplitCost bound it, in seconds. TestGroupsOfSeveralOwnersAreInTime
+	// reads about half as many shared prompts again as without them, at the same completion.
+	splitShare   = 0.3
+	minSplitCost = 0.1
+	maxSplitCost = 1.5
+	// homeCost is the cost in seconds of an engine that has read the prompt of another group whose waiting items need its slots,
+	// for each such group, of which maxHomes count.
+	homeCost = 0.3
+	maxHomes = 3
+	// foreignTime is the cost in seconds of an engine that mainly serves another model, whose owner fills it without knowing of
+	// this host's runs.
+	foreignTime = 0.3
+	// fullTime is the cost in seconds of an engine whose slots are all in use, and proportionally less below that.
+	fullTime = 0.1
+	// holdRatio is how many times the expected wait for a slot elsewhere the loss by a slow engine must be for an item to wait.
+	holdRatio = 3
+	// maxGroupEngines bounds the remembered engines that have read the shared prompt of a group.
+	maxGroupEngines = 8
+	// defaultInterval is the event interval of engines before any event was observed.
+	defaultInterval = 35 * time.Millisecond
+)
+
+// splitWeights are the shares of splitCost for a further engine of a group that has none, one, two and more. A group of more
+// items than an engine has slots needs a second one.
+var splitWeights = [...]float64{0, 0.25, 1, 2}
+
+// completion is the state of the choice by expected completion time, which is used for pools whose engines state their speed.
+type completion struct {
+	profile *profiler.Profiler
+	lengths *lengths
+	// groupEngines holds the engines that have read the shared prompt of a group.
+	groupEngines map[groupKey][]identifier.UpstreamID
+	// moveBudget is the number of runs that may be moved.
+	moveBudget float64
+	// pass holds what does not change during a pass of schedule.
+	pass pass
+}
+
+// pass is the state of one pass of schedule.
+type pass struct {
+	at       time.Time
+	pictures map[identifier.UpstreamID]profiler.Picture
+	// typical is the median of the engines' long-run event intervals.
+	typical time.Duration
+	// finish is the expected seconds until all texts of a group are complete, if those that wait start now.
+	finish map[groupKey]float64
+	// homes counts the groups with waiting items, which are in waits, at the engines that have read their prompts.
+	homes map[identifier.UpstreamID]int
+	waits map[groupKey]struct{}
+	// waiting is the number of items without a run, over all open jobs.
+	waiting int
+}
+
+func newCompletion() *completion {
+	return &completion{
+		moveBudget: firstMoveBudget, profile: profiler.New(profiler.Config{}), lengths: newLengths(), groupEngines: make(map[groupKey][]identifier.UpstreamID),
+		pass: pass{
+			pictures: make(map[identifier.UpstreamID]profiler.Picture), finish: make(map[groupKey]float64),
+			homes: make(map[identifier.UpstreamID]int), waits: make(map[groupKey]struct{}),
+		},
+	}
+}
+
+// listEngines passes a new list of engines on to the profiler.
+func (c *completion) listEngines(former, next map[identifier.UpstreamID]*engine) {
+	for id, e := range former {
+		if next[id] != e {
+			c.profile.Handle(time.Time{}, profiler.Removed{Upstream: id})
+		}
+	}
+	for id, e := range next {
+		c.profile.Handle(time.Time{}, profiler.Listed{Upstream: id, Pool: e.host.Pool, Slots: e.host.Slots})
+	}
+}
+
+// started notes the start of a run.
+func (c *completion) started(now time.Time, r *run) {
+	id := r.engine.host.ID
+	c.profile.Handle(now, profiler.Started{Upstream: id})
+	c.pass.waiting--
+	key := groupKey{r.job.job.ID, r.item.spec.Group}
+	if known := c.groupEngines[key]; r.item.spec.Group != "" && !slices.Contains(known, id) {
+		if len(known) == maxGroupEngines {
+			known = slices.Delete(known, 0, 1)
+		}
+		c.groupEngines[key] = append(known, id)
+		c.pass.homes[id]++
+	}
+}
+
+// ended notes the end of a run; the text is complete if err is nil and the run was not stopped.
+func (c *completion) ended(now time.Time, r *run, complete bool) {
+	c.profile.Handle(now, profiler.Ended{Upstream: r.engine.host.ID, StartedAt: r.startedAt})
+	if complete {
+		c.lengths.learn(r.job.job.Model, r.item.spec.ExpectedTokens, len(r.item.events))
+	}
+}
+
+// usesCompletion reports whether the engines of a job are chosen by the expected completion time.
+func (b *Batcher) usesCompletion(now time.Time, j *job) bool {
+	return j.entry.Route != nil && slices.ContainsFunc(j.entry.Route.Pools, func(share codec.WeightedPool) bool {
+		return share.Weight > 0 && b.completion.profile.States(now, share.Pool)
+	})
+}
+
+// beginPass computes the pictures of all engines and the expected end of each open group.
+func (b *Batcher) beginPass(now time.Time) {
+	p := &b.completion.pass
+	p.at = now
+	clear(p.pictures)
+	clear(p.homes)
+	clear(p.waits)
+	p.waiting = 0
+	clear(p.finish)
+	var intervals []time.Duration
+	for _, id := range b.engineIDs {
+		picture, ok := b.completion.profile.View(now, id)
+		if !ok {
+			picture.Slots, picture.Own = b.engines[id].slots(), b.engines[id].inFlight
+		}
+		p.pictures[id] = picture
+		if picture.LongRun > 0 {
+			intervals = append(intervals, picture.LongRun)
+		}
+	}
+	p.typical = defaultInterval
+	if len(intervals) > 0 {
+		slices.Sort(intervals)
+		p.typical = intervals[len(intervals)/2]
+	}
+	for _, j := range b.jobs {
+		if j.ended || !j.routed {
+			continue
+		}
+		for _, it := range j.items {
+			if it.state == itemFinished || it.complete {
+				continue
+			}
+			remaining := b.remainingEvents(j, it)
+			end := remaining * p.typical.Seconds()
+			if it.run != nil {
+				end = p.pictures[it.run.engine.host.ID].Expected(remaining).Seconds()
+			}
+			key := groupKey{j.job.ID, it.spec.Group}
+			p.finish[key] = max(p.finish[key], end)
+			if it.run == nil {
+				p.waiting++
+				p.waits[key] = struct{}{}
+			}
+		}
+	}
+	b.countHomes()
+}
+
+// countHomes counts the groups with waiting items at the engines that have read their prompts.
+func (b *Batcher) countHomes() {
+	p := &b.completion.pass
+	for key := range p.waits {
+		for _, id := range b.completion.groupEngines[key] {
+			p.homes[id]++
+		}
+	}
+}
+
+func (b *Batcher) remainingEvents(j *job, it *item) float64 {
+	return b.completion.lengths.remaining(j.job.Model, it.spec.ExpectedTokens, len(it.events))
+}
+
+// expectedLoad returns the expected number of requests of all hosts on an engine.
+func (b *Batcher) expectedLoad(e *engine, picture profiler.Picture) float64 {
+	return float64(e.inFlight) + picture.Others
+}
+
+// expectedTime returns the expected seconds until an item's text is complete on an engine, if its run starts now.
+func (b *Batcher) expectedTime(j *job, it *item, e *engine, remaining float64) float64 {
+	picture := b.completion.pass.pictures[e.host.ID]
+	if picture.LongRun <= 0 {
+		picture.LongRun = b.completion.pass.typical
+	}
+	wait := 0.0
+	if excess := b.expectedLoad(e, picture) + 1 - float64(picture.Slots); excess > 0 {
+		run := b.completion.lengths.mean(j.job.Model) * picture.LongRun.Seconds()
+		wait = excess / float64(picture.Slots) * run
+	}
+	read := float64(len(it.events))
+	if !slices.Contains(b.completion.groupEngines[groupKey{j.job.ID, it.spec.Group}], e.host.ID) {
+		read += float64(it.spec.Tokens)
+	}
+	return wait + read/readPerSecond + picture.Expected(remaining).Seconds()
+}
+
+// chooseByCompletion returns the engine on which the item's group is expected to be complete first, or nil if none is free or
+// the item had better wait for another one. An item with
+// time to spare waits for an engine that has read the prompt of its group.
+func (b *Batcher) chooseByCompletion(now time.Time, j *job, it *item) *engine {
+	c := b.completion
+	if !c.pass.at.Equal(now) {
+		b.beginPass(now)
+	}
+	remaining := b.remainingEvents(j, it)
+	key := groupKey{j.job.ID, it.spec.Group}
+	finish := c.pass.finish[key]
+	until := j.due().Sub(now).Seconds()
+	splitCost := min(max(splitShare*(until-finish), minSplitCost), maxSplitCost)
+	switch {
+	case it.spec.Group == "":
+		finish = 0
+	case until > 0:
+		finish = min(finish, until)
+	}
+	known := c.groupEngines[key]
+	var best *engine
+	var bestCost, bestTime float64
+	bestHasRoom, anyRoom := false, false
+	// occupied is the expected time on the fastest engine without room.
+	occupied := math.Inf(1)
+	for _, id := range b.engineIDs {
+		e := b.engines[id]
+		if _, without := b.withoutTurn[id]; without || !it.fits(e) || !e.serves(now, j) {
+			continue
+		}
+		room := b.hasRoom(e)
+		if !room {
+			occupied = min(occupied, remaining*c.pass.pictures[id].LongRun.Seconds())
+		}
+		if !room && !slices.Contains(known, id) {
+			continue
+		}
+		anyRoom = anyRoom || room
+		expected := b.expectedTime(j, it, e, remaining)
+		picture := c.pass.pictures[id]
+		cost := max(expected, finish) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
+		if !slices.Contains(known, id) {
+			cost += splitCost * splitWeights[min(len(known), len(splitWeights)-1)]
+			cost += homeCost * float64(min(c.pass.homes[id], maxHomes))
+		}
+		if e.model != "" && e.model != j.job.Model {
+			cost += foreignTime
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestTime, bestHasRoom = e, cost, expected, room
+		}
+	}
+	if !anyRoom {
+		return nil
+	}
+	if !bestHasRoom || b.waitPays(j, bestTime-max(occupied, remaining*c.pass.typical.Seconds())) {
+		j.held = true
+		return nil
+	}
+	return best
+}
+
+// hasRoom reports whether an engine is expected to begin a further run at once or soon.
+func (b *Batcher) hasRoom(e *engine) bool {
+	picture := b.completion.pass.pictures[e.host.ID]
+	return e.inFlight < picture.Slots && b.expectedLoad(e, picture)+1 <= float64(picture.Slots+queueAhead)
+}
+
+// waitPays reports whether an item that loses so many seconds by the engine at hand had better wait for a slot elsewhere.
+func (b *Batcher) waitPays(j *job, loss float64) bool {
+	if loss <= 0 || len(b.runs) == 0 {
+		return false
+	}
+	mean := b.completion.lengths.mean(j.job.Model) * b.completion.pass.typical.Seconds()
+	return loss > holdRatio*mean*float64(1+b.completion.pass.waiting)/float64(len(b.runs))
+}
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -220,6 +220,7 @@
 			next[host.ID] = known
 		}
 	}
+	b.completion.listEngines(b.engines, next)
 	b.engines = next
 	b.engineIDs = b.engineIDs[:0]
 	for id := range next {
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -57,10 +57,11 @@
 
 // run is one run of an item on an engine.
 type run struct {
-	id     RunID
-	job    *job
-	item   *item
-	engine *engine
+	id        RunID
+	job       *job
+	item      *item
+	engine    *engine
+	startedAt time.Time
 	// lastEventAt is when the last event arrived, or the start of the run before the first event.
 	lastEventAt   time.Time
 	receivedEvent bool
@@ -89,6 +90,8 @@
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
 	ended      bool
+	// held is set if the item whose engine was chosen last had better wait for another engine.
+	held bool
 	// results holds the results in the store; pending holds the final results that are not stored yet, of which the
 	// first inAppend are being written.
 	results   []codec.BatchResult
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -13,6 +13,9 @@
 // late delays its group, and more engines would not make it faster.
 func (b *Batcher) schedule(now time.Time) {
 	clear(b.withoutTurn)
+	if b.completion.profile.StatesAny(now) {
+		b.beginPass(now)
+	}
 	open := b.openJobs()
 	for _, j := range open {
 		b.startRewards(now, j)
@@ -59,6 +62,9 @@
 			continue
 		}
 		e := b.chooseWithTurn(now, j, it)
+		if e == nil && j.held {
+			continue
+		}
 		if e == nil && len(it.events) > 0 {
 			if !b.restartPays(now, j, it) {
 				continue
@@ -113,6 +119,10 @@
 // chooseEngine returns the free engine with the lowest cost: its slowness plus a small cost for its load and one if it mainly
 // serves another model, less a small bonus if it has processed the group's prompt. It returns nil if no free engine may run items of the job.
 func (b *Batcher) chooseEngine(now time.Time, j *job, it *item) *engine {
+	j.held = false
+	if b.usesCompletion(now, j) {
+		return b.chooseByCompletion(now, j, it)
+	}
 	typical := b.typicalInterval(now)
 	var best *engine
 	var bestCost float64
@@ -143,12 +153,13 @@
 		it.clear()
 	}
 	b.lastRun++
-	r := &run{id: b.lastRun, job: j, item: it, engine: e, lastEventAt: now}
+	r := &run{id: b.lastRun, job: j, item: it, engine: e, startedAt: now, lastEventAt: now}
 	b.runs[r.id] = r
 	it.run = r
 	it.state = itemRunning
 	it.blockedSince = time.Time{}
 	e.inFlight++
+	b.completion.started(now, r)
 	b.promptEngines[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
 	b.emit(StartRun{Run: r.id, Job: j.job.ID, Host: j.job.Host, Item: it.spec, Engine: e.host, After: it.lastEvent()})
 }
--- a/service/batcher/straggler.go
+++ b/service/batcher/straggler.go
@@ -37,7 +37,7 @@
 	for _, r := range b.runs {
 		limit := stall
 		if !r.receivedEvent {
-			limit = max(firstEventTimeout, stall)
+			limit = max(firstEventTimeout, stall) + b.queueTime(now, r)
 		}
 		if r.stopped == "" && now.Sub(r.lastEventAt) > limit {
 			r.engine.pause(now, failedPause)
@@ -49,6 +49,7 @@
 // moveFromSlow stops runs on engines that are much slower than a free one, so that the items resume there. Otherwise a
 // few engines that are several times slower than the others would delay the groups of their items.
 func (b *Batcher) moveFromSlow(now time.Time) {
+	b.moveByCompletion(now)
 	typical := b.typicalInterval(now)
 	moves := 0
 	for _, id := range b.engineIDs {
@@ -56,7 +57,7 @@
 			if moves == maxMoves {
 				return
 			}
-			if r.stopped == "" && r.item.moves < maxItemMoves && b.hasFasterEngine(now, r, typical, moves) {
+			if r.stopped == "" && !b.usesCompletion(now, r.job) && r.item.moves < maxItemMoves && b.hasFasterEngine(now, r, typical, moves) {
 				r.item.moves++
 				r.item.movedFrom = r.engine.host.ID
 				b.stop(r, StopSlowEngine)
