--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -10,6 +10,7 @@
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/profiler"
 )
 
 const (
@@ -47,8 +48,9 @@
 	pacer       Pacer
 	withoutTurn map[identifier.UpstreamID]struct{}
 	// stating holds the pools whose engines state how long work takes on them.
-	stating  map[identifier.PoolName]struct{}
-	commands []Command
+	stating    map[identifier.PoolName]struct{}
+	completion *completion
+	commands   []Command
 }
 
 // Pacer hands out turns for runs on engines that name a limit.
@@ -88,7 +90,7 @@
 		pacer: config.Pacer, withoutTurn: make(map[identifier.UpstreamID]struct{}),
 		jobs: make(map[identifier.BatchID]*job), engines: make(map[identifier.UpstreamID]*engine),
 		runs: make(map[RunID]*run), promptEngines: make(map[groupKey]identifier.UpstreamID),
-		stating: make(map[identifier.PoolName]struct{}),
+		stating: make(map[identifier.PoolName]struct{}), completion: newCompletion(),
 	}
 }
 
@@ -115,6 +117,7 @@
 		if reporting, ok := b.engines[e.Engine]; ok {
 			reporting.applyLoad(now, e.Load)
 			b.noteSlowness(reporting.host.Pool, e.Load)
+			b.completion.profile.Handle(now, profiler.Stated{Upstream: e.Engine, Load: e.Load})
 		}
 		return nil
 	case RunEnded:
@@ -147,6 +150,7 @@
 	}
 	j := newJob(event)
 	b.jobs[event.Job.ID] = j
+	b.completion.moveBudget = min(b.completion.moveBudget+movedShare*float64(len(j.items)), maxMoveBudget)
 	for _, it := range j.items {
 		if it.state != itemWaiting || len(it.events) > 0 {
 			continue
@@ -218,6 +222,7 @@
 			b.stop(it.run, StopJobEnded)
 		}
 		delete(b.promptEngines, groupKey{id, it.spec.Group})
+		delete(b.completion.groupEngines, groupKey{id, it.spec.Group})
 	}
 	b.emit(NotifyReaders{Job: id})
 }
@@ -245,6 +250,7 @@
 	it, j := r.item, r.job
 	if r.receivedEvent {
 		r.engine.measure(now, now.Sub(r.lastEventAt))
+		b.completion.profile.Handle(now, profiler.Worked{Upstream: r.engine.host.ID, Amount: 1, Took: now.Sub(r.lastEventAt)})
 	}
 	r.measure(now)
 	r.receivedEvent = true
@@ -282,6 +288,7 @@
 	}
 	delete(b.runs, e.Run)
 	r.engine.inFlight--
+	b.completion.ended(now, r, e.Err == nil && r.stopped == "")
 	it, j := r.item, r.job
 	if it.run == r {
 		it.run = nil
