batcher, placer: a job counts as late that its longest text makes late

Cause: a job was late only while its items waited. A step is late by the end of its longest text, when nothing waits any more, so the share of a late trainer did not grow. Change: items that waited for a sixth of the time until due make their job count as late once its longest text cannot be complete in time.

--- a/service/batcher/demand.go
+++ b/service/batcher/demand.go
@@ -20,6 +20,9 @@
 	// arrivalHold is how long after its last submission the arriving work of a model is stated without open jobs: trainers pause
 	// between two steps, and engines that left the model meanwhile would have to load its weights again.
 	arrivalHold = 10 * time.Second
+	// waitedPart sets how long items of a job must have waited for engines, as a part of the time until it is due, so that more
+	// engines would have made it complete sooner.
+	waitedPart = 6
 	// maxAging bounds the weight of a late job's work.
 	maxAging = 2
 )
@@ -110,9 +113,13 @@
 	// grows while jobs pile up, and stays below the rate at which they arrive while each is complete before the second next one
 	// comes.
 	needed float64
+	// longest is the greatest number of events that one item lacks.
+	longest float64
 	// left is the time until the job is due; timed is false if it has no due time.
 	left  time.Duration
 	timed bool
+	// waited is set if items waited for a good part of the time until due.
+	waited bool
 }
 
 func (j *job) work(now time.Time, typical float64) jobWork {
@@ -130,6 +137,7 @@
 		if len(it.events) > 0 {
 			remaining = max(remaining, minRemainingEvents)
 		}
+		work.longest = max(work.longest, remaining)
 		if it.state == itemRunning {
 			work.runningItems++
 			work.running += remaining
@@ -138,6 +146,12 @@
 			work.waiting += remaining
 		}
 	}
+	if work.waitingItems > 0 {
+		j.waitedUntil = now
+	}
+	if work.timed {
+		work.waited = j.waitedUntil.Sub(j.submittedAt) > j.entry.Batch.Due.Std()/waitedPart
+	}
 	return work
 }
 
@@ -222,26 +236,26 @@
 	return total / max(length, minInterval).Seconds()
 }
 
-// late reports whether items wait while a job is late, or will be with the runs of the jobs: these generate an event in each
-// typical interval. Jobs get engines in the order in which they are due.
+// late reports whether a job is late, or will be, for want of engines: items wait, and the runs of the jobs, which generate an event
+// in each typical interval, are too few; or its longest text will not be complete in time after items waited. Jobs get engines in the
+// order in which they are due.
 func (b *Batcher) late(now time.Time, works []jobWork) bool {
+	typical := b.typicalInterval(now).Seconds()
 	running := 0
 	for _, work := range works {
 		running += work.runningItems
 	}
-	rate := 0.0
-	if typical := b.typicalInterval(now); typical > 0 {
-		rate = float64(running) / typical.Seconds()
-	}
 	works = slices.Clone(works)
 	slices.SortFunc(works, func(x, y jobWork) int { return cmp.Compare(x.left, y.left) })
 	before := 0.0
 	for _, work := range works {
 		before += work.waiting + work.running
-		if !work.timed || work.waitingItems == 0 {
+		if !work.timed {
 			continue
 		}
-		if work.left <= 0 || rate > 0 && before > rate*work.left.Seconds() {
+		left := work.left.Seconds()
+		tooFew := work.waitingItems > 0 && (left <= 0 || running > 0 && before*typical > float64(running)*left)
+		if tooFew || work.waited && work.longest*typical > left {
 			return true
 		}
 	}
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -102,6 +102,8 @@
 	saving        map[*item]savedState
 	savedAt       time.Time
 	savingStopped bool
+	// waitedUntil is when items of the job last waited for engines, as of a statement of demand.
+	waitedUntil time.Time
 }
 
 func newJob(event JobOpened) *job {
