scaler: engines move to cheaper zones and kinds while their number stays

Cause: while the work stays the same, engines stayed in the zones in which they were started, at up to 1.4 times the price. Change: an engine that costs at least a tenth less than the most expensive one is ordered before the surplus gives that one back.

--- a/service/scaler/events.go
+++ b/service/scaler/events.go
@@ -71,7 +71,7 @@
 	ReasonNeed Reason = "need"
 	// ReasonSurplus means that an engine was not needed for surplusTime.
 	ReasonSurplus Reason = "surplus"
-	// ReasonCheaper means that a preemptible engine is to take the place of a regular one.
+	// ReasonCheaper means that the engine is to take the place of a more expensive one, of the other kind or in another zone.
 	ReasonCheaper Reason = "cheaper"
 )
 
--- a/service/scaler/plan.go
+++ b/service/scaler/plan.go
@@ -25,10 +25,9 @@
 	maxPreemptiblePart = 0.5
 	// maxZonePart is the part of a pool's engines up to which a zone is chosen by its price.
 	maxZonePart = 0.5
-	// preemptibleGain is the least saving, as a part of the price of the regular engines that they replace, for which preemptible
-	// ones are ordered.
-	preemptibleGain = 0.1
-	// cheaperInterval is the time between two preemptible engines that take the place of regular ones.
+	// minGain is the least saving, as a part of the price, for which engines take the place of others.
+	minGain = 0.1
+	// cheaperInterval is the time between two engines that take the place of more expensive ones.
 	cheaperInterval = 8 * time.Second
 )
 
@@ -134,7 +133,7 @@
 // than there are zones, because the loss of a zone must be made up for.
 func (p *pool) usesPreemptibles() bool {
 	zones := float64(len(p.zones()))
-	return p.bounds.PreemptiblePrice > 0 && zones > 1 && zones*p.bounds.PreemptiblePrice <= (1-preemptibleGain)*(zones-1)
+	return p.bounds.PreemptiblePrice > 0 && zones > 1 && zones*p.bounds.PreemptiblePrice <= (1-minGain)*(zones-1)
 }
 
 // open reports whether another engine may be ordered in a place.
@@ -169,7 +168,7 @@
 // raise orders engines until there are as many as required, or no place takes another one.
 func (p *pool) raise(now time.Time, needed int) {
 	for p.total(now) < p.required(now, needed) {
-		at, ok := p.cheapestOpen(now)
+		at, ok := p.cheapestOpen(now, 1)
 		if !ok {
 			return
 		}
@@ -179,21 +178,21 @@
 }
 
 // cheapestOpen returns the place in which to order the next engine: a preemptible one where there are the fewest, unless there are
-// enough of them; otherwise a regular one in the cheapest zone that does not hold most of the engines already.
-func (p *pool) cheapestOpen(now time.Time) (best place, ok bool) {
-	if p.usesPreemptibles() && p.allowsPreemptible(now, 1) {
+// enough of them; otherwise a regular one in the cheapest zone that does not hold most of the engines already. The total changes by
+// change.
+func (p *pool) cheapestOpen(now time.Time, change int) (best place, ok bool) {
+	if p.usesPreemptibles() && p.allowsPreemptible(now, change) {
 		if at, ok := p.fewestPreemptibles(now); ok {
 			return at, true
 		}
 	}
-	total := float64(p.total(now))
 	var bestCrowded bool
 	for _, zone := range p.zones() {
 		at := place{zone, false}
 		if !p.open(now, at) {
 			continue
 		}
-		crowded := p.crowded(now, zone, total)
+		crowded := p.fills(now, zone, change)
 		if !ok || !crowded && bestCrowded || crowded == bestCrowded && p.price(at) < p.price(best) {
 			best, bestCrowded, ok = at, crowded, true
 		}
@@ -204,6 +203,11 @@
 	return best, ok
 }
 
+// fills reports whether a zone would hold most of the engines with one more, when the total changes by change.
+func (p *pool) fills(now time.Time, zone identifier.Zone, change int) bool {
+	return float64(p.zoneTotal(now, zone)+1) > maxZonePart*float64(p.total(now)+change)
+}
+
 // allowsPreemptible reports whether there may be one more preemptible engine when the total changes by change.
 func (p *pool) allowsPreemptible(now time.Time, change int) bool {
 	preemptible, _ := p.preemptibles(now)
@@ -291,14 +295,23 @@
 	return float64(p.zoneTotal(now, zone)) > maxZonePart*engines+1
 }
 
-// cheapen orders a preemptible engine that is to take the place of a regular one, which the surplus gives back later.
+// cheapen orders an engine that is to take the place of a more expensive one, which the surplus gives back later.
 func (p *pool) cheapen(now time.Time, needed int) {
-	if !p.usesPreemptibles() || !p.allowsPreemptible(now, 0) || p.total(now) != p.required(now, needed) || !p.knowsWork(now) || p.changing(now) ||
-		now.Sub(p.cheaperAt) < cheaperInterval {
+	if p.total(now) != p.required(now, needed) || !p.knowsWork(now) || p.changing(now) || now.Sub(p.cheaperAt) < cheaperInterval {
+		return
+	}
+	dearest, ok := p.dearest(now)
+	if !ok {
+		return
+	}
+	at, ok := p.cheapestOpen(now, 0)
+	if !ok || p.price(at) > (1-minGain)*p.price(dearest) {
 		return
 	}
-	if at, ok := p.fewestPreemptibles(now); ok {
-		p.add(now, at, ReasonCheaper)
-		p.cheaperAt = now
+	// A zone that would hold most of the engines afterwards would be the one to give one back.
+	if !at.preemptible && p.fills(now, at.zone, 0) {
+		return
 	}
+	p.add(now, at, ReasonCheaper)
+	p.cheaperAt = now
 }
--- a/service/scaler/scaler_test.go
+++ b/service/scaler/scaler_test.go
@@ -24,6 +24,13 @@
 	return limits
 }
 
+// evenPrices returns bounds with which no engine is cheaper than another, so that only the work calls for orders.
+func evenPrices(least, most int) codec.Autoscale {
+	limits := regularOnly(least, most)
+	limits.ZonePrices = map[string]float64{"a": 1, "b": 1, "c": 1}
+	return limits
+}
+
 // Load test: a day with steps and bursts, in which the preemptible engines of two zones are taken away one after the other.
 // Compares cost and waiting with the constant fleet that serves the same day. Guards against work that waits because engines were
 // given back too early or came too late, and against a fleet that costs as much as the constant one.
@@ -71,7 +78,7 @@
 
 // Guards against engines that are given back during a pause of the work, or faster than one in 4 s for each zone.
 func TestSurplusIsGivenBackSlowly(t *testing.T) {
-	w := newPlatform(10, regularOnly(1, 20))
+	w := newPlatform(10, evenPrices(1, 20))
 	w.run(60*time.Second, 140)
 	w.orders = nil
 	before := w.serving()
@@ -150,7 +157,7 @@
 // Failure test: guards against orders that are lost, or undone by an older one that the platform carries out late. A call without
 // a response is repeated with the same number after 1 s, and once more when no older call can come any more.
 func TestOrderWithoutAResponseIsRepeated(t *testing.T) {
-	w := newPlatform(3, regularOnly(1, 20))
+	w := newPlatform(3, evenPrices(1, 20))
 	w.run(40*time.Second, 30)
 	lost := 0
 	w.respond = func(scaler.Order) (scaler.Outcome, bool) {
@@ -223,6 +230,26 @@
 	require.Empty(t, w.orders)
 }
 
+// Guards against a fleet that stays in the expensive zones while its size does not change, and against one that moves without end.
+func TestCheaperEnginesTakeThePlaceOfOthers(t *testing.T) {
+	for _, limits := range []codec.Autoscale{bounds(1, 20), regularOnly(1, 20)} {
+		w := newPlatform(5, limits)
+		w.run(10*time.Minute, 60)
+		require.Less(t, w.count(place{"c", false}, true), 3)
+		w.orders = nil
+		before := w.cost
+		w.run(10*time.Minute, 60)
+		require.Empty(t, w.orders)
+		require.Zero(t, w.waited)
+		regular := 0.0
+		for _, price := range zonePrices {
+			regular += 5 * price * 600
+		}
+		t.Logf("cost of 10 min %.0f, of the former fleet %.0f", w.cost-before, regular)
+		require.Less(t, w.cost-before, 0.95*regular)
+	}
+}
+
 // Guards against numbers outside the bounds of the configuration, of both kinds together, and against a change of pools without
 // these bounds.
 func TestBoundsHold(t *testing.T) {
