scaler: waiting orders are sent with the number decided at present

Cause: an order that waited for its turn below the limit of calls was sent with the number of an earlier decision, and orders that waited when the lease ended were kept for the next one. Change: the number is looked up when the order is sent; orders that wait are withdrawn when the lease ends. Tests: TestWaitingOrderIsSentWithTheNewNumber.

--- a/service/scaler/driver.go
+++ b/service/scaler/driver.go
@@ -107,12 +107,18 @@
 		d.held = held
 		d.config.Log.Info(logger.DutyOrdersBegan).Bool("held", held).Int64("fencing", int64(fence.Fencing)).Send()
 	}
+	if !held {
+		for _, order := range d.queue {
+			d.machine.Handle(now, OrderEnded{Order: order, Outcome: NotSent})
+		}
+		d.queue = nil
+	}
 	d.queue = append(d.queue, d.machine.Handle(now, Tick{Held: held})...)
 	for _, status := range d.machine.Status() {
 		d.config.Meter.EnginesRequired(string(status.Pool), status.Required, status.Have)
 	}
 	for len(d.queue) > 0 && now.Sub(d.lastSent) >= d.sendInterval() {
-		order := d.next()
+		order := d.machine.Current(d.next())
 		d.lastSent = now
 		d.calls.Go(func() { d.order(ctx, order) })
 	}
--- a/service/scaler/scaler.go
+++ b/service/scaler/scaler.go
@@ -220,6 +220,15 @@
 	return orders
 }
 
+// Current returns an order that has not been sent yet with the number that is decided at present.
+func (s *Scaler) Current(order Order) Order {
+	if p, ok := s.pools[order.Pool]; ok {
+		known := p.stock(place{order.Zone, order.Preemptible})
+		order.Engines, order.Reason = known.desired, known.reason
+	}
+	return order
+}
+
 // Status returns the results of the last decisions, in order of the pools' names, while this host decides.
 func (s *Scaler) Status() []Status {
 	var statuses []Status
--- a/service/scaler/scaler_test.go
+++ b/service/scaler/scaler_test.go
@@ -230,6 +230,30 @@
 	require.Empty(t, w.orders)
 }
 
+// Guards against an order that waited for its turn and is sent with a number that has changed meanwhile.
+func TestWaitingOrderIsSentWithTheNewNumber(t *testing.T) {
+	w := newPlatform(3, evenPrices(1, 20))
+	w.run(40*time.Second, 30)
+	demand := func(items int) {
+		w.s.Handle(w.now, scaler.DemandStated{Demand: map[identifier.PoolName]map[identifier.ModelName]codec.ModelDemand{
+			pool: {"m": {Pool: pool, Model: "m", WaitingItems: items}},
+		}})
+	}
+	demand(60)
+	first := w.s.Handle(w.now, scaler.Tick{Held: true})
+	require.NotEmpty(t, first)
+	demand(300)
+	for _, order := range w.s.Handle(w.now, scaler.Tick{Held: true}) {
+		require.NotEqual(t, first[0].Zone, order.Zone, "one order of a place is under way")
+	}
+	current := w.s.Current(first[0])
+	require.Greater(t, current.Engines, first[0].Engines)
+	w.s.Handle(w.now, scaler.OrderEnded{Order: current, Outcome: connector.DutyAccepted})
+	for _, order := range w.s.Handle(w.now, scaler.Tick{Held: true}) {
+		require.NotEqual(t, order.EngineOrder, current.EngineOrder)
+	}
+}
+
 // Guards against a fleet that stays in the expensive zones while its size does not change, and against one that moves without end.
 func TestCheaperEnginesTakeThePlaceOfOthers(t *testing.T) {
 	for _, limits := range []codec.Autoscale{bounds(1, 20), regularOnly(1, 20)} {
