--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -78,6 +78,12 @@
 	OrderGiven            Event = 7004
 	LeaseHandedOver       Event = 7005
 	LeaseLost             Event = 7003
+	FencingRefused        Event = 7006
+	UsageWritten          Event = 7011
+	UsageReported         Event = 7012
+	UsageFailed           Event = 7013
+	UsageOverdue          Event = 7014
+	CountsNotSent         Event = 7015
 	SnapshotOverdue       Event = 8001
 	SnapshotBuilderTook   Event = 8002
 )
@@ -149,6 +155,12 @@
 	{LeaseAcquired, "lease acquired", "This host acquired a lease and may send the orders that the lease covers.", "No action is needed."},
 	{LeaseHandedOver, "lease handed over", "This host cannot reach the store or the engines, so it requested that another host hold the lease as the stand-in holder. A line with an error means that the request failed.", "Check this host's network path to the store."},
 	{LeaseLost, "lease lost", "This host no longer holds a lease, so it sends no further orders under it.", "No action is needed if this is rare; otherwise check this host's network path to the store."},
+	{FencingRefused, "fencing token refused", "The platform refused the fencing token of this host as outdated, so this host makes no further calls with it and releases the lease.", "No action is needed if this is rare; otherwise check whether two fleets use the same platform."},
+	{UsageWritten, "usage written", "The host with the duty wrote what it will report for the window in the field window: requests of all customers together, and from how many hosts counts arrived. A line with an error means that the write failed and is retried.", "No action is needed without an error; otherwise check the platform's store."},
+	{UsageReported, "usage reported", "The platform accepted the usage of a window; the field late is the time since the end of the window.", "No action is needed."},
+	{UsageFailed, "report of usage failed", "The platform did not confirm the usage of a window. The same report is repeated.", "Check the platform's API for duties if this is frequent."},
+	{UsageOverdue, "usage not reported", "The usage of a window could not be reported in time and is given up.", "Report the counts of the line by hand; check the platform's store and its API for duties."},
+	{CountsNotSent, "counts not sent", "This host could not send its counts of requests to the collecting host in the field peer; it repeats them.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{SnapshotOverdue, "snapshot overdue", "No new snapshot for the screens arrived in time; the screens show the age of the last one.", "Check the host in the field builder, which builds the snapshots."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host now builds the snapshots for the screens.", "No action is needed."},
 }
--- /dev/null
+++ b/service/leaseholder/holder_test.go
@@ -0,0 +1,189 @@
+package leaseholder_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/lib/logger"
+	"celerygap.example/lib/timer"
+	"celerygap.example/service/connector"
+	"celerygap.example/service/leaseholder"
+	"celerygap.example/service/storekeeper"
+)
+
+const duration = 600 * time.Millisecond
+
+// endpoint is the access of one host to the members and peers of a test.
+type endpoint struct {
+	fleet *fleet
+	id    identifier.HostID
+}
+
+func (p endpoint) Self() codec.Member { return codec.Member{ID: p.id, Incarnation: 1} }
+
+func (p endpoint) Live() []codec.Member {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.live
+}
+
+func (p endpoint) Handle(_ string, handler connector.Handler) { p.fleet.handlers[p.id] = handler }
+
+func (p endpoint) Call(ctx context.Context, to codec.Member, _ string, params, _ any) error {
+	handler, ok := p.fleet.handlers[to.ID]
+	if !ok {
+		return errors.New("unreachable")
+	}
+	text, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = handler(ctx, text)
+	return err
+}
+
+// fleet is some hosts with one store that would all make calls as often as they may.
+type fleet struct {
+	t        *testing.T
+	store    *storekeeper.Store
+	handlers map[identifier.HostID]connector.Handler
+	holders  map[identifier.HostID]*leaseholder.Holder
+
+	mu   sync.Mutex
+	live []codec.Member
+}
+
+func newFleet(t *testing.T, fenced bool, ids ...identifier.HostID) *fleet {
+	f := &fleet{
+		t: t, store: storekeeper.New(), handlers: make(map[identifier.HostID]connector.Handler),
+		holders: make(map[identifier.HostID]*leaseholder.Holder),
+	}
+	for _, id := range ids {
+		f.live = append(f.live, codec.Member{ID: id, Incarnation: 1})
+	}
+	service := timer.New(timer.Config{Resolution: time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	group := grouper.NewGroup(-1)
+	group.Go(func() { _ = service.Run(ctx) })
+	for _, id := range ids {
+		f.holders[id] = leaseholder.New(leaseholder.Config{
+			Key: "leases/duties", Method: "duties_stand_in", Store: f.store, Members: endpoint{f, id}, Peers: endpoint{f, id},
+			Timer: service, Log: logger.Discard(), Duration: duration, Fenced: fenced, CallDelay: 300 * time.Millisecond,
+			Quiet: duration,
+		})
+	}
+	for _, holder := range f.holders {
+		group.Go(func() { _ = holder.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return f
+}
+
+// await returns the first fence with a token above a value.
+func (f *fleet) await(above identifier.Fencing, within time.Duration) connector.DutyFence {
+	var found connector.DutyFence
+	require.Eventually(f.t, func() bool {
+		for _, holder := range f.holders {
+			if fence, ok := holder.Fence(); ok && fence.Fencing > above {
+				found = fence
+				return true
+			}
+		}
+		return false
+	}, within, time.Millisecond, "no host may make calls with a token above %d", above)
+	return found
+}
+
+// Guards against a call with a lower fencing token that takes effect after one with a higher token, and against holders that
+// alternate within the duration of the lease, where the receiver checks no tokens and the former holder has just released the lease.
+func TestSuccessorWaitsAfterARelease(t *testing.T) {
+	f := newFleet(t, false, "a", "b")
+	first := f.await(0, 3*time.Second)
+	require.NoError(t, f.holders[first.Holder].Drain(t.Context()))
+	released := time.Now()
+	f.mu.Lock()
+	for i, member := range f.live {
+		if member.ID == first.Holder {
+			f.live = append(f.live[:i:i], f.live[i+1:]...)
+			break
+		}
+	}
+	f.mu.Unlock()
+	second := f.await(first.Fencing, 5*time.Second)
+	require.NotEqual(t, first.Holder, second.Holder)
+	require.GreaterOrEqual(t, time.Since(released), duration)
+	_, ok := f.holders[first.Holder].Fence()
+	require.False(t, ok)
+}
+
+// Guards against further calls with a token that the receiver refused.
+func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
+	f := newFleet(t, true, "a", "b")
+	first := f.await(0, 3*time.Second)
+	f.holders[first.Holder].Refused(first.Fencing)
+	_, ok := f.holders[first.Holder].Fence()
+	require.False(t, ok)
+	next := f.await(0, 3*time.Second)
+	require.Greater(t, next.Fencing, first.Fencing)
+}
+
+// Guards against a duty that nobody does while only its holder cannot reach the receiver of the calls.
+func TestHolderThatReachesNothingHandsTheLeaseOver(t *testing.T) {
+	f := newFleet(t, true, "a", "b")
+	first := f.await(0, 3*time.Second)
+	start := time.Now()
+	require.Eventually(t, func() bool {
+		if fence, ok := f.holders[first.Holder].Fence(); ok && fence.Holder == first.Holder {
+			f.holders[first.Holder].Reached(false)
+		}
+		for id, holder := range f.holders {
+			if _, ok := holder.Fence(); ok && id != first.Holder {
+				return true
+			}
+		}
+		return false
+	}, 8*time.Second, 50*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(start), 2*time.Second, "a few lost calls are no reason")
+}
+
+// Guards against a successor that makes calls while one of the former holder is in flight.
+func TestLeaseIsReleasedAfterTheCallsInFlight(t *testing.T) {
+	f := newFleet(t, true, "a")
+	fence := f.await(0, 3*time.Second)
+	holder := f.holders["a"]
+	grant, ok := holder.Begin()
+	require.True(t, ok)
+	require.Equal(t, fence.Fencing, grant.Fencing)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, holder.Drain(ctx), context.DeadlineExceeded)
+	_, ok = holder.Begin()
+	require.False(t, ok, "a host that drains begins no call")
+	require.Contains(t, f.stored(), `"holder":"a#1"`)
+	holder.End()
+	require.NoError(t, holder.Drain(t.Context()))
+	require.Eventually(t, func() bool { return !containsHolder(f.stored()) }, time.Second, 5*time.Millisecond)
+}
+
+func (f *fleet) stored() string {
+	object, err := f.store.Get(f.t.Context(), "leases/duties")
+	require.NoError(f.t, err)
+	return string(object.Value)
+}
+
+func containsHolder(text string) bool {
+	var lease codec.Lease
+	return json.Unmarshal([]byte(text), &lease) == nil && lease.Holder != ""
+}
--- a/service/placer/driver.go
+++ b/service/placer/driver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
@@ -14,15 +13,18 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/leaseholder"
 	"celerygap.example/service/updater"
 )
 
 const (
 	// leaseKey is the store key of the lease whose holder sends orders.
 	leaseKey = "leases/orders"
-	// tickInterval bounds how late a lease timer or a due load is noticed.
+	// methodStandIn requests that another host holds the lease in place of this one, which cannot reach the store or the engines.
+	methodStandIn = "orders_stand_in"
+	// tickInterval bounds how late a due load is noticed.
 	tickInterval = 100 * time.Millisecond
-	// callTimeout bounds one call to an engine or the store.
+	// callTimeout bounds one call to an engine.
 	callTimeout = time.Second
 	// pollInterval is the time between two queries of the state of an engine that loads; a load takes about a second.
 	pollInterval = 200 * time.Millisecond
@@ -30,10 +32,6 @@
 	pollTimeout = 4 * time.Second
 	// resultCapacity is the number of results of calls that may wait for the driver.
 	resultCapacity = 1024
-	// marginDivisor sets the margin: no orders are sent during the last LeaseDuration/marginDivisor of the lease.
-	marginDivisor = 6
-	// renewalDivisor sets the renewal interval to LeaseDuration/renewalDivisor.
-	renewalDivisor = 3
 )
 
 // DriverConfig configures a Driver.
@@ -61,52 +59,26 @@
 	CheckPath func(ctx context.Context, upstream connector.Upstream)
 }
 
-// Driver acquires the lease, feeds events to a Placer and sends its loads to the engines while it holds the lease.
+// Driver feeds events to a Placer and sends its loads to the engines while this host holds the lease.
 type Driver struct {
 	config  DriverConfig
-	lease   *updater.Lease
+	holder  *leaseholder.Holder
 	machine *Placer
 	calls   *grouper.Group
-	results *buffer.Ring[result]
-	// leaseTimer is when LeaseTimerFired is due; zero means that no timer is set.
-	leaseTimer time.Time
-	held       bool
-	// inFlight counts the outstanding orders.
-	inFlight int
-	// failures counts the calls for the lease in a row that did not reach the store or got no response.
-	failures  int
-	startedAt time.Time
+	results *buffer.Ring[Event]
 
-	mu       sync.Mutex
-	pending  []Event
-	draining bool
-	drained  chan struct{}
-	// standInUntil is how long this host wants the lease as stand-in holder for one that cannot reach the store; yielded is
-	// the fencing token that the other host no longer uses.
-	standInUntil time.Time
-	yielded      identifier.Fencing
-	// handedOverUntil is how long this host leaves the lease to its stand-in holder.
-	handedOverUntil time.Time
-}
-
-// result carries the outcome of a call back to the driver; exactly one of its fields is set.
-type result struct {
-	lease updater.LeaseEvent
-	event Event
+	mu      sync.Mutex
+	pending []Event
 }
 
 // NewDriver returns a Driver and registers its peer method; Run starts it.
 func NewDriver(config DriverConfig) *Driver {
-	holder := config.Members.Self().ID + holderSeparator + identifier.HostID(strconv.FormatInt(int64(config.Members.Self().Incarnation), 10))
-	d := &Driver{
-		config: config, machine: New(), calls: grouper.NewGroup(-1), results: buffer.New[result](resultCapacity),
-		drained: make(chan struct{}), startedAt: time.Now(),
-	}
-	d.lease = updater.NewLease(updater.LeaseConfig{
-		Holder: holder, Duration: config.LeaseDuration, Renewal: config.LeaseDuration / renewalDivisor,
-		Margin: config.LeaseDuration / marginDivisor, MaxOrderDelay: callTimeout, HolderGone: d.holderGone,
+	d := &Driver{config: config, machine: New(), calls: grouper.NewGroup(-1), results: buffer.New[Event](resultCapacity)}
+	d.holder = leaseholder.New(leaseholder.Config{
+		Key: leaseKey, Method: methodStandIn, Store: config.Store, Members: config.Members, Peers: config.Peers, Timer: config.Timer,
+		Log: config.Log, Duration: config.LeaseDuration, Fenced: config.Fenced, CallDelay: callTimeout, Settled: config.Settled,
+		Substitute: config.Substitute, OnAcquired: func() { d.Handle(LeaseAcquired{}) },
 	})
-	config.Peers.Handle(methodStandIn, d.serveStandIn)
 	return d
 }
 
@@ -119,21 +91,12 @@
 
 // Drain makes Run release the lease once the outstanding orders have ended, and waits for that. It returns the error of ctx
 // if ctx ends first.
-func (d *Driver) Drain(ctx context.Context) error {
-	d.mu.Lock()
-	d.draining = true
-	d.mu.Unlock()
-	select {
-	case <-d.drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (d *Driver) Drain(ctx context.Context) error { return d.holder.Drain(ctx) }
 
 // Run holds the lease while this host should and sends orders under it, until ctx ends. It returns nil.
 func (d *Driver) Run(ctx context.Context) error {
 	defer d.calls.Wait()
+	d.calls.Go(func() { _ = d.holder.Run(ctx) })
 	ticks, stopTicks := d.config.Timer.Subscribe(tickInterval)
 	defer stopTicks()
 	stopFollowing := func() {}
@@ -143,29 +106,17 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case r := <-d.results.Items():
-			d.handleResult(ctx, r)
+		case event := <-d.results.Items():
+			d.machine.Handle(time.Now(), event)
+		case <-d.holder.Changes():
 		case <-ticks:
 		}
-		wanted, draining := d.wanted()
-		if wanted != following {
+		if wanted := d.holder.Wanted(); wanted != following {
 			stopFollowing()
 			stopFollowing = d.followVersions(ctx, wanted)
 			following = wanted
 		}
-		d.advance(ctx, wanted)
-		if draining && !d.held && d.inFlight == 0 {
-			d.finishDrain()
-		}
-	}
-}
-
-// finishDrain ends the calls of Drain; it may be called repeatedly.
-func (d *Driver) finishDrain() {
-	select {
-	case <-d.drained:
-	default:
-		close(d.drained)
+		d.startLoads(ctx)
 	}
 }
 
@@ -177,57 +128,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d.calls.Go(func() {
 		d.config.FollowVersions(ctx, func(model identifier.ModelName, version identifier.WeightVersion) {
-			d.results.Offer(result{event: VersionAnnounced{Model: model, Version: version}})
-		}, func() { d.results.Offer(result{event: VersionsListed{}}) })
+			d.results.Offer(VersionAnnounced{Model: model, Version: version})
+		}, func() { d.results.Offer(VersionsListed{}) })
 	})
 	return cancel
 }
 
-// wanted reports whether this host should hold the lease, and whether it drains. A holder keeps the lease until it drains
-// or hands over: a needless change of holders would make two hosts send orders shortly after each other.
-func (d *Driver) wanted() (wanted, draining bool) {
-	d.mu.Lock()
-	draining = d.draining
-	d.mu.Unlock()
-	if draining {
-		return false, true
-	}
-	if d.handedOver() || d.config.Settled != nil && !d.config.Settled() {
-		return false, false
-	}
-	if d.held || d.standsIn() {
-		return true, false
-	}
-	first, ok := d.candidate()
-	return !ok || first.ID == d.config.Members.Self().ID, false
-}
-
-func (d *Driver) handleResult(ctx context.Context, r result) {
-	switch {
-	case r.lease != nil:
-		d.countFailures(ctx, r.lease)
-		d.handleLease(ctx, r.lease)
-	case r.event != nil:
-		if _, ok := r.event.(OrderEnded); ok {
-			d.inFlight--
-		}
-		d.handleEvent(ctx, r.event)
-	}
-}
-
-// advance updates the lease, applies the queued events and starts the loads that are due.
-func (d *Driver) advance(ctx context.Context, wanted bool) {
-	if d.held && d.config.Substitute != nil {
-		if host, ok := d.config.Substitute(); ok {
-			d.handOverTo(ctx, host)
-			wanted = wanted && !d.handedOver()
-		}
-	}
-	d.handleLease(ctx, updater.LeaseWanted{Wanted: wanted, InFlight: d.inFlight})
-	if !d.leaseTimer.IsZero() && !d.leaseTimer.After(time.Now()) {
-		d.leaseTimer = time.Time{}
-		d.handleLease(ctx, updater.LeaseTimerFired{})
-	}
+// applyPending applies the queued events.
+func (d *Driver) applyPending() {
 	d.mu.Lock()
 	events := d.pending
 	d.pending = nil
@@ -235,54 +143,27 @@
 	for _, event := range events {
 		d.machine.Handle(time.Now(), event)
 	}
-	d.startLoads(ctx)
 }
 
-// handleLease passes an event to the lease, executes its commands and notes whether this host holds the lease.
-func (d *Driver) handleLease(ctx context.Context, event updater.LeaseEvent) {
-	for _, command := range d.lease.Handle(time.Now(), event) {
-		switch c := command.(type) {
-		case updater.SetLeaseTimer:
-			d.leaseTimer = c.At
-		case updater.ReadLease:
-			d.calls.Go(func() {
-				d.results.Offer(result{lease: updater.ReadLeaseObject(ctx, d.config.Store, leaseKey, callTimeout)})
-			})
-		case updater.WriteLease:
-			d.calls.Go(func() {
-				d.results.Offer(result{lease: updater.WriteLeaseObject(ctx, d.config.Store, leaseKey, callTimeout, c)})
-			})
-		}
-	}
-	held := !d.lease.Grant().Until.IsZero()
-	if held != d.held {
-		title := logger.LeaseLost
-		if held {
-			title = logger.LeaseAcquired
-		}
-		d.config.Log.Info(title).Str("lease", leaseKey).Int64("fencing", int64(d.lease.Grant().Fencing)).Send()
-	}
-	if held && !d.held {
-		d.machine.Handle(time.Now(), LeaseAcquired{})
-	}
-	d.held = held
-}
-
-// handleEvent passes an event to the state machine and starts the loads that are due.
-func (d *Driver) handleEvent(ctx context.Context, event Event) {
-	d.machine.Handle(time.Now(), event)
-	d.startLoads(ctx)
-}
-
-// startLoads starts the loads that are due if the lease allows orders now.
+// startLoads applies the queued events and starts the loads that are due if the lease allows orders now. The lease is not released
+// while it decides.
 func (d *Driver) startLoads(ctx context.Context) {
-	grant := d.lease.Grant()
-	if !grant.Valid(time.Now()) {
+	grant, allowed := d.holder.Begin()
+	// A grant that Begin returns comes after the event that reports the lease, so the events are applied after it.
+	d.applyPending()
+	if !allowed {
 		return
 	}
+	defer d.holder.End()
 	for _, load := range d.machine.Handle(time.Now(), Tick{}) {
-		d.inFlight++
-		d.calls.Go(func() { d.results.Offer(result{event: d.order(ctx, load, grant)}) })
+		if _, allowed := d.holder.Begin(); !allowed {
+			d.machine.Handle(time.Now(), OrderEnded{Engine: load.Engine.ID, Model: load.Model, Failed: true})
+			continue
+		}
+		d.calls.Go(func() {
+			defer d.holder.End()
+			d.results.Offer(d.order(ctx, load, grant))
+		})
 	}
 }
 
