--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -37,6 +37,9 @@
 	{"celerygap_invariant_failures", "checks", []string{"invariant"}, "Failed checks of the program on itself."},
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
+	{"celerygap_duty_calls", "calls", []string{"duty", "outcome"}, "Calls of the platform that one host at a time makes."},
+	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
+	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
 	{"celerygap_peer_bytes", "bytes", []string{"direction"}, "Bytes exchanged with other hosts of the service."},
 }
@@ -53,6 +56,9 @@
 	staleness metric.Float64Histogram
 	wait      metric.Float64Counter
 	store     metric.Int64Counter
+	duty      metric.Int64Counter
+	windows   metric.Int64Counter
+	counts    metric.Int64Counter
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
 	revision  metric.Int64Gauge
@@ -81,6 +87,9 @@
 	m.delivered = b.counter("celerygap_samples_delivered")
 	m.staleness = b.histogram("celerygap_sample_staleness")
 	m.store = b.counter("celerygap_store_calls")
+	m.duty = b.counter("celerygap_duty_calls")
+	m.windows = b.counter("celerygap_usage_windows")
+	m.counts = b.counter("celerygap_usage_count_calls")
 	m.peer = b.counter("celerygap_peer_calls")
 	m.bytes = b.counter("celerygap_peer_bytes")
 	m.wait = b.floatCounter("celerygap_trainer_wait")
@@ -137,6 +146,21 @@
 		attribute.String("operation", operation), attribute.String("result", result)))
 }
 
+// DutyCalled counts a call that one host at a time makes.
+func (m *Meter) DutyCalled(duty, outcome string) {
+	m.duty.Add(context.Background(), 1, metric.WithAttributes(attribute.String("duty", duty), attribute.String("outcome", outcome)))
+}
+
+// WindowEnded counts a window of usage that was reported or given up.
+func (m *Meter) WindowEnded(result string) {
+	m.windows.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+// CountsSent counts a message with counts of requests to a collecting host.
+func (m *Meter) CountsSent(result string) {
+	m.counts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // PeerCalled counts a call to another host.
 func (m *Meter) PeerCalled(method, result string) {
 	m.peer.Add(context.Background(), 1, metric.WithAttributes(
