service/accountant, service/dispatcher: counts of started requests and reports of usage

Cause: nothing counted requests by customer. A report is made only after it was written to the store, and a written one is repeated, never computed again.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -552,6 +552,9 @@
 	Priority *int `json:"priority,omitempty"`
 }
 
+// CustomerCounts defines model for CustomerCounts.
+type CustomerCounts = map[identifier.CustomerName]int64
+
 // CustomerName defines model for CustomerName.
 type CustomerName = identifier.CustomerName
 
@@ -1441,6 +1444,33 @@
 	Zone     Zone       `json:"zone"`
 }
 
+// UsageCounts Counts of one process of a host since its start; process distinguishes its processes. Each count is cumulative, and only changed ones are sent.
+type UsageCounts struct {
+	From    HostID         `json:"from"`
+	Process Incarnation    `json:"process"`
+	Windows []WindowCounts `json:"windows"`
+}
+
+// UsageLedger Value of the store object duties/usage. through is the last window whose report is written; open holds the reports that were not confirmed when it was written.
+type UsageLedger struct {
+	Open    []WindowCounts `json:"open,omitempty"`
+	Through UsageWindow    `json:"through"`
+}
+
+// UsageQuery Requests the counts of a window; held is the total of each process that the sender has, by from#process.
+type UsageQuery struct {
+	Held   map[string]int64 `json:"held,omitempty"`
+	Window UsageWindow      `json:"window"`
+}
+
+// UsageReply The counts of the processes of which the sender of the query holds fewer.
+type UsageReply struct {
+	Counts []UsageCounts `json:"counts"`
+}
+
+// UsageWindow defines model for UsageWindow.
+type UsageWindow = identifier.UsageWindow
+
 // WeightAnnouncement Value of the store object weights/<trainer entry>.
 type WeightAnnouncement struct {
 	Version WeightVersion `json:"version"`
@@ -1461,5 +1491,11 @@
 	Weight float64  `json:"weight"`
 }
 
+// WindowCounts Requests by customer that began to run in a window.
+type WindowCounts struct {
+	Counts CustomerCounts `json:"counts"`
+	Window UsageWindow    `json:"window"`
+}
+
 // Zone defines model for Zone.
 type Zone = identifier.Zone
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -65,6 +65,9 @@
 	Deadline     time.Duration
 	ProbeTimeout time.Duration
 	MaxBody      identifier.Bytes
+	// OnStarted is called once for a request of a customer when an upstream is known to have begun it, with the time at which
+	// that attempt was sent; nil means that nothing is counted. It must not wait.
+	OnStarted func(customer identifier.CustomerName, at time.Time)
 	// OnFlagged is called with the fingerprints that this host proves or suspects, with the dispatcher's mutex held: it
 	// must neither block nor call the dispatcher.
 	OnFlagged func(proven, suspects []codec.FlaggedFingerprint)
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -62,6 +62,8 @@
 	software *identifier.SoftwareVersion
 	// freeRetryUsed is set once a retry after a crash was not charged to the retry budget.
 	freeRetryUsed bool
+	// start is the notice that an upstream began the request.
+	start startNotice
 	// waitsForTurn is set while the request is counted in turnWaiters.
 	waitsForTurn bool
 }
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -32,6 +32,7 @@
 func (d *Dispatcher) Call(ctx context.Context, request connector.PlainRequest) (connector.PlainResponse, error) {
 	j, refusal := d.newJob(request.Entry, false)
 	j.requestID = request.ID
+	j.expectStart(request.Customer, request.Sound)
 	var response connector.PlainResponse
 	if refusal == nil {
 		response, refusal = j.call(ctx, request)
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -33,6 +33,10 @@
 	mu      sync.Mutex
 	attempt *Attempt
 	sent    bool
+	// start is the notice of the request's start; sentAt and grace are set once the attempt was sent if it is wanted.
+	start  *startNotice
+	sentAt time.Time
+	grace  *time.Timer
 }
 
 func (a *lockedAttempt) handle(event AttemptEvent) (conclusion Conclude) {
@@ -46,6 +50,7 @@
 			conclusion = c
 		}
 	}
+	a.watchStart(event, conclusion)
 	return conclusion
 }
 
@@ -67,7 +72,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		a := &lockedAttempt{attempt: NewAttempt(AttemptConfig{Idempotent: j.idempotent})}
+		a := &lockedAttempt{attempt: NewAttempt(AttemptConfig{Idempotent: j.idempotent}), start: &j.start}
 		err := j.runStoppable(ctx, p, a, run)
 		if err == nil {
 			a.handle(Completed{})
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -44,6 +44,7 @@
 func (d *Dispatcher) Stream(ctx context.Context, request connector.PlainRequest, sink connector.StreamSink) (*connector.PlainResponse, error) {
 	j, refusal := d.newJob(request.Entry, false)
 	j.requestID = request.ID
+	j.expectStart(request.Customer, request.Sound)
 	s := &stream{job: j, request: request, sink: sink}
 	if refusal == nil {
 		refusal = s.run(ctx)
--- a/service/leaseholder/holder.go
+++ b/service/leaseholder/holder.go
@@ -56,6 +56,8 @@
 	// Substitute returns a host that can do the duty while this one cannot, so that it holds the lease instead; nil means that
 	// this host always can.
 	Substitute func() (host identifier.HostID, ok bool)
+	// Excluded returns the live hosts that cannot hold the lease; nil means that there are none.
+	Excluded func() []identifier.HostID
 	// OnAcquired is called when this host acquires the lease, before Grant returns it. It must not block and must not call the
 	// Holder.
 	OnAcquired func()
--- a/service/leaseholder/standin.go
+++ b/service/leaseholder/standin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,7 +45,15 @@
 
 // candidate returns the live host that should hold the lease, except for the hosts in without.
 func (h *Holder) candidate(without ...identifier.HostID) (codec.Member, bool) {
-	return elector.Choose(h.config.Key, h.config.Members.Live(), without...)
+	return elector.Choose(h.config.Key, h.config.Members.Live(), append(h.excluded(), without...)...)
+}
+
+// excluded returns the hosts that cannot hold the lease.
+func (h *Holder) excluded() []identifier.HostID {
+	if h.config.Excluded == nil {
+		return nil
+	}
+	return slices.Clone(h.config.Excluded())
 }
 
 // holderGone reports whether no further call of a holder will take effect: it yielded the lease, or its process has
@@ -111,7 +120,7 @@
 		return "", false
 	}
 	// The next host may reach the receiver no better, so the choice is not always the same one.
-	ranked := elector.Rank(h.config.Key, h.config.Members.Live(), substituteChoices, h.config.Members.Self().ID)
+	ranked := elector.Rank(h.config.Key, h.config.Members.Live(), substituteChoices, append(h.excluded(), h.config.Members.Self().ID)...)
 	if len(ranked) == 0 {
 		return "", false
 	}
