service/assembler: the lease of the duties and the reports of usage run where the settings name them

Cause: the parts for duties were not part of a host. Change: holder and accountant run if the platform's settings file names the API for duties; a planned stop releases the lease and sends the last counts. A host of an earlier build, which knows no duties, is found out by a call and is no candidate. Tests: TestHostOfAnEarlierBuildIsNoCandidate; service/leaseholder, service/accountant, service/assembler, service/peerconnector.

--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -17,6 +17,7 @@
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/elector"
+	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/updater"
 )
 
@@ -110,17 +111,6 @@
 	d.counter.Started(customer, began)
 }
 
-// Excluded returns the hosts that know nothing of duties.
-func (d *Driver) Excluded() []identifier.HostID {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	hosts := make([]identifier.HostID, 0, len(d.lacking))
-	for destination := range d.lacking {
-		hosts = append(hosts, destination.Host)
-	}
-	return hosts
-}
-
 // Run sends counts and, while this host holds the lease, reports usage, until ctx ends. It returns nil.
 func (d *Driver) Run(ctx context.Context) error {
 	defer d.work.Wait()
@@ -225,7 +215,7 @@
 	delete(d.failing, send.To)
 	result := "ok"
 	switch {
-	case lacksMethod(err):
+	case peerconnector.LacksMethod(err):
 		result = "lacking"
 		d.lacking[send.To] = true
 	case err != nil:
--- a/service/accountant/ledger.go
+++ b/service/accountant/ledger.go
@@ -6,8 +6,6 @@
 	"errors"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/logger"
 	"celerygap.example/service/connector"
@@ -76,9 +74,3 @@
 	err := json.Unmarshal(object.Value, &ledger)
 	return ledger, err
 }
-
-// lacksMethod reports whether a call failed because the other host runs a build without its method.
-func lacksMethod(err error) bool {
-	var failed *jsonrpc2.Error
-	return errors.As(err, &failed) && failed.Code == jsonrpc2.CodeMethodNotFound
-}
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -157,6 +157,8 @@
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
 	Platform Platform
+	// Duties is the client of the platform's calls that one host at a time makes; nil if there are none.
+	Duties connector.DutyCalls
 	// DialUpstream opens a connection to an upstream over this host's own links.
 	DialUpstream connector.DialFunc
 	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
@@ -186,6 +188,7 @@
 	pacer      *pacer.Driver
 	binder     *binder.Driver
 	tunneler   *tunneler.Driver
+	singletons singletons
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -272,11 +275,12 @@
 	h.tunneler = tunneler.NewDriver(tunneler.DriverConfig{
 		Members: h.prober, Peers: h.peers, Direct: h.config.DialUpstream, Known: h.isUpstream, Log: h.log,
 	})
+	h.buildSingletons()
 	upstreams := h.config.NewUpstreams(observer{h}, h.tunneler)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
-		Limiter: limiterConfig, Pacer: h.pacer, Origins: h.binder,
+		Limiter: limiterConfig, Pacer: h.pacer, Origins: h.binder, OnStarted: h.onStarted(),
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
 	h.buildBatcherAndPlacer(upstreams)
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -122,7 +122,7 @@
 	if h.listeners.metrics != nil {
 		duties = append(duties, serve("metrics", h.listeners.metrics, newServer(h.config.Meter.Handler())))
 	}
-	return append(duties, h.lister.Duties()...)
+	return append(append(duties, h.singletonDuties()...), h.lister.Duties()...)
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -257,6 +257,7 @@
 	waitEnds := time.Now().Add(settings.DrainWait)
 	h.logStep("hand over batch jobs", h.batcher.HandOver(drainCtx))
 	h.logStep("release lease", h.placer.Drain(drainCtx))
+	h.logStep("release duties", h.releaseDuties(drainCtx))
 	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, leaveTimeout)
 	h.logStep("leave", h.prober.Leave(leaveCtx))
 	cancelLeave()
@@ -264,6 +265,7 @@
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
 	h.logStep("finish connections", h.callers.Shutdown(drainCtx))
 	h.logStep("finish requests", h.finishRequests(drainCtx))
+	h.logStep("send last counts", h.sendLastCounts(drainCtx))
 	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
 	return nil
 }
--- /dev/null
+++ b/service/leaseholder/candidate.go
@@ -0,0 +1,75 @@
+package leaseholder
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/elector"
+	"celerygap.example/service/peerconnector"
+)
+
+const (
+	// askTimeout bounds a call that asks a candidate whether it can hold the lease; askInterval is the pause after one.
+	askTimeout  = 500 * time.Millisecond
+	askInterval = time.Second
+)
+
+// candidacy is a process of a host that is or was the first candidate.
+type candidacy struct {
+	host        identifier.HostID
+	incarnation identifier.Incarnation
+}
+
+// excluded returns the hosts that cannot hold the lease.
+func (h *Holder) excluded() []identifier.HostID {
+	if h.config.KnownMethod == "" {
+		return nil
+	}
+	live := h.config.Members.Live()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.known, func(of candidacy, _ bool) bool {
+		member, ok := elector.Find(of.host, live)
+		return !ok || member.Incarnation != of.incarnation
+	})
+	var excluded []identifier.HostID
+	for of, knows := range h.known {
+		if !knows {
+			excluded = append(excluded, of.host)
+		}
+	}
+	return excluded
+}
+
+// askCandidate asks a new candidate once whether it can hold the lease, so that another one is chosen if it cannot.
+func (h *Holder) askCandidate(ctx context.Context) {
+	if h.config.KnownMethod == "" {
+		return
+	}
+	candidate, ok := h.candidate()
+	if !ok || candidate.ID == h.config.Members.Self().ID {
+		return
+	}
+	of := candidacy{candidate.ID, candidate.Incarnation}
+	h.mu.Lock()
+	_, asked := h.known[of]
+	if asked || h.asking || time.Now().Before(h.askAt) {
+		h.mu.Unlock()
+		return
+	}
+	h.asking = true
+	h.mu.Unlock()
+	h.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		err := h.config.Peers.Call(ctx, candidate, h.config.KnownMethod, struct{}{}, nil)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.asking, h.askAt = false, time.Now().Add(askInterval)
+		if err == nil || peerconnector.LacksMethod(err) {
+			h.known[of] = err == nil
+		}
+	})
+}
--- a/service/leaseholder/holder.go
+++ b/service/leaseholder/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -56,8 +57,9 @@
 	// Substitute returns a host that can do the duty while this one cannot, so that it holds the lease instead; nil means that
 	// this host always can.
 	Substitute func() (host identifier.HostID, ok bool)
-	// Excluded returns the live hosts that cannot hold the lease; nil means that there are none.
-	Excluded func() []identifier.HostID
+	// KnownMethod is a peer method by which a host tells that it can hold the lease; empty means that each host can. Hosts of an
+	// earlier build do not know it and are not considered as candidates.
+	KnownMethod string
 	// OnAcquired is called when this host acquires the lease, before Grant returns it. It must not block and must not call the
 	// Holder.
 	OnAcquired func()
@@ -104,6 +106,11 @@
 	yielded      identifier.Fencing
 	// handedOverUntil is how long this host leaves the lease to its stand-in holder.
 	handedOverUntil time.Time
+	// known tells of the processes that were candidates whether they know KnownMethod. asking is set during a call of it, askAt is
+	// when the next call may be made.
+	known  map[candidacy]bool
+	asking bool
+	askAt  time.Time
 }
 
 // New returns a Holder and registers its peer method; Run starts it.
@@ -111,13 +118,16 @@
 	self := config.Members.Self()
 	h := &Holder{
 		config: config, name: self.ID + holderSeparator + identifier.HostID(strconv.FormatInt(int64(self.Incarnation), 10)), calls: grouper.NewGroup(-1), results: buffer.New[updater.LeaseEvent](resultCapacity),
-		wake: make(chan struct{}, 1), changes: make(chan struct{}, 1), drained: make(chan struct{}), startedAt: time.Now(),
+		wake: make(chan struct{}, 1), changes: make(chan struct{}, 1), drained: make(chan struct{}), startedAt: time.Now(), known: make(map[candidacy]bool),
 	}
 	h.lease = updater.NewLease(updater.LeaseConfig{
 		Holder: h.name, Duration: config.Duration, Renewal: config.Duration / renewalDivisor,
 		Margin: config.Duration / marginDivisor, MaxOrderDelay: config.CallDelay, HolderGone: h.holderGone,
 	})
 	config.Peers.Handle(config.Method, h.serveStandIn)
+	if config.KnownMethod != "" {
+		config.Peers.Handle(config.KnownMethod, func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+	}
 	return h
 }
 
@@ -233,6 +243,7 @@
 		case <-ticks:
 		case <-h.wake:
 		}
+		h.askCandidate(ctx)
 		h.advance(ctx)
 	}
 }
--- a/service/leaseholder/holder_test.go
+++ b/service/leaseholder/holder_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"github.com/stretchr/testify/require"
 
 	"celerygap.example/lib/codec"
@@ -16,6 +16,7 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/elector"
 	"celerygap.example/service/leaseholder"
 	"celerygap.example/service/storekeeper"
 )
@@ -36,12 +37,14 @@
 	return p.fleet.live
 }
 
-func (p endpoint) Handle(_ string, handler connector.Handler) { p.fleet.handlers[p.id] = handler }
+func (p endpoint) Handle(method string, handler connector.Handler) {
+	p.fleet.handlers[method+" "+string(p.id)] = handler
+}
 
-func (p endpoint) Call(ctx context.Context, to codec.Member, _ string, params, _ any) error {
-	handler, ok := p.fleet.handlers[to.ID]
+func (p endpoint) Call(ctx context.Context, to codec.Member, method string, params, _ any) error {
+	handler, ok := p.fleet.handlers[method+" "+string(to.ID)]
 	if !ok {
-		return errors.New("unreachable")
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
 	}
 	text, err := json.Marshal(params)
 	if err != nil {
@@ -55,7 +58,7 @@
 type fleet struct {
 	t        *testing.T
 	store    *storekeeper.Store
-	handlers map[identifier.HostID]connector.Handler
+	handlers map[string]connector.Handler
 	holders  map[identifier.HostID]*leaseholder.Holder
 
 	mu   sync.Mutex
@@ -64,7 +67,7 @@
 
 func newFleet(t *testing.T, fenced bool, ids ...identifier.HostID) *fleet {
 	f := &fleet{
-		t: t, store: storekeeper.New(), handlers: make(map[identifier.HostID]connector.Handler),
+		t: t, store: storekeeper.New(), handlers: make(map[string]connector.Handler),
 		holders: make(map[identifier.HostID]*leaseholder.Holder),
 	}
 	for _, id := range ids {
@@ -78,7 +81,7 @@
 		f.holders[id] = leaseholder.New(leaseholder.Config{
 			Key: "leases/duties", Method: "duties_stand_in", Store: f.store, Members: endpoint{f, id}, Peers: endpoint{f, id},
 			Timer: service, Log: logger.Discard(), Duration: duration, Fenced: fenced, CallDelay: 300 * time.Millisecond,
-			Quiet: duration,
+			Quiet: duration, KnownMethod: "duties_known",
 		})
 	}
 	for _, holder := range f.holders {
@@ -106,6 +109,19 @@
 	return found
 }
 
+// Guards against a duty that nobody does during an upgrade, because the hosts that would be chosen run a build that does not know it.
+func TestHostOfAnEarlierBuildIsNoCandidate(t *testing.T) {
+	f := newFleet(t, true, "a")
+	f.mu.Lock()
+	for _, id := range []identifier.HostID{"old1", "old2", "old3", "old4", "old5", "old6"} {
+		f.live = append(f.live, codec.Member{ID: id, Incarnation: 1})
+	}
+	first, _ := elector.Choose("leases/duties", f.live)
+	f.mu.Unlock()
+	require.NotEqual(t, identifier.HostID("a"), first.ID, "the test needs a host of an earlier build as first candidate")
+	require.Equal(t, identifier.HostID("a"), f.await(0, 12*time.Second).Holder)
+}
+
 // Guards against a call with a lower fencing token that takes effect after one with a higher token, and against holders that
 // alternate within the duration of the lease, where the receiver checks no tokens and the former holder has just released the lease.
 func TestSuccessorWaitsAfterARelease(t *testing.T) {
--- a/service/leaseholder/standin.go
+++ b/service/leaseholder/standin.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -48,14 +47,6 @@
 	return elector.Choose(h.config.Key, h.config.Members.Live(), append(h.excluded(), without...)...)
 }
 
-// excluded returns the hosts that cannot hold the lease.
-func (h *Holder) excluded() []identifier.HostID {
-	if h.config.Excluded == nil {
-		return nil
-	}
-	return slices.Clone(h.config.Excluded())
-}
-
 // holderGone reports whether no further call of a holder will take effect: it yielded the lease, or its process has
 // ended. A host that seems dead may only be frozen and make a call when it resumes, so for other hosts this requires
 // receivers that refuse its fencing token. It is called with the mutex held.
@@ -115,8 +106,9 @@
 		}
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.unreached < unreachedCalls || time.Since(h.unreachedSince) < unreachedDuration {
+	failing := h.unreached >= unreachedCalls && time.Since(h.unreachedSince) >= unreachedDuration
+	h.mu.Unlock()
+	if !failing {
 		return "", false
 	}
 	// The next host may reach the receiver no better, so the choice is not always the same one.
@@ -124,7 +116,9 @@
 	if len(ranked) == 0 {
 		return "", false
 	}
+	h.mu.Lock()
 	h.unreached = 0
+	h.mu.Unlock()
 	return ranked[rand.N(len(ranked))].ID, true
 }
 
--- a/service/peerconnector/peerconnector.go
+++ b/service/peerconnector/peerconnector.go
@@ -266,3 +266,9 @@
 		Connections:      len(c.links),
 	}
 }
+
+// LacksMethod reports whether a call failed because the other host does not know the method, as the host of an earlier build.
+func LacksMethod(err error) bool {
+	var failed *jsonrpc2.Error
+	return errors.As(err, &failed) && failed.Code == jsonrpc2.CodeMethodNotFound
+}
