service/leaseholder: the successor of a killed holder waits from the last renewal that it heard of

Cause: in a process test the successor first read the lease when it took the killed holder for dead and began to make calls 9 s after the kill, so that the usage of a window was reported 10.1 s after its end; it is due after 10 s. Change: where calls are not fenced, the holder announces each renewal to the next candidate, which counts its wait from then. A message to the collecting hosts no longer goes to a host that has just left the list. Tests: TestSuccessorOfAKilledHolderWaitsFromTheLastRenewal, TestWaitForAnotherHolderCountsFromTheTimeKnown.

--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -151,7 +151,7 @@
 	for {
 		d.send(ctx, true)
 		d.mu.Lock()
-		confirmed := d.counter.Confirmed(d.destinations())
+		confirmed := d.counter.Confirmed(destinations(d.collecting()))
 		d.mu.Unlock()
 		if confirmed {
 			return nil
@@ -164,15 +164,16 @@
 	}
 }
 
-// destinations returns the collecting hosts. The mutex must be held.
-func (d *Driver) destinations() []Destination {
-	var found []Destination
-	for _, member := range d.collecting() {
+// destinations returns the processes of some hosts.
+func destinations(members []codec.Member) []Destination {
+	found := make([]Destination, 0, len(members))
+	for _, member := range members {
 		found = append(found, Destination{member.ID, member.Incarnation})
 	}
 	return found
 }
 
+// collecting returns the collecting hosts. The mutex must be held.
 func (d *Driver) collecting() []codec.Member {
 	live := d.config.Members.Live()
 	var without []identifier.HostID
@@ -193,7 +194,7 @@
 func (d *Driver) send(ctx context.Context, flush bool) {
 	d.mu.Lock()
 	members := d.collecting()
-	sends := d.counter.Due(d.config.Clock(), d.destinations(), flush)
+	sends := d.counter.Due(d.config.Clock(), destinations(members), flush)
 	d.mu.Unlock()
 	for _, send := range sends {
 		to, _ := elector.Find(send.To.Host, members)
--- a/service/leaseholder/candidate.go
+++ b/service/leaseholder/candidate.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"time"
 
+	"celerygap.example/lib/annotator"
+	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/elector"
 	"celerygap.example/service/peerconnector"
@@ -64,7 +67,7 @@
 	h.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		err := h.config.Peers.Call(ctx, candidate, h.config.KnownMethod, struct{}{}, nil)
+		err := h.config.Peers.Call(ctx, candidate, h.config.KnownMethod, codec.Lease{}, nil)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.asking, h.askAt = false, time.Now().Add(askInterval)
@@ -73,3 +76,36 @@
 		}
 	})
 }
+
+// announce tells the next candidate of a renewal. If this host is killed, the successor then waits from that time on and not from
+// its first read of the lease, which it makes only once it takes this host for dead.
+func (h *Holder) announce(ctx context.Context, renewed codec.Lease) {
+	if h.config.KnownMethod == "" || h.config.Fenced {
+		return
+	}
+	next, ok := h.candidate(h.config.Members.Self().ID)
+	if !ok {
+		return
+	}
+	h.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		// A lost announcement only makes the successor wait longer.
+		_ = h.config.Peers.Call(ctx, next, h.config.KnownMethod, renewed, nil)
+	})
+}
+
+// serveKnown tells another host that this one can hold the lease, and records the renewal that the call announces. The renewal
+// counts from before its announcement, so a wait from the time at which it was heard is long enough.
+func (h *Holder) serveKnown(_ context.Context, params json.RawMessage) (any, error) {
+	var renewed codec.Lease
+	if err := json.Unmarshal(params, &renewed); err != nil {
+		return nil, annotator.Wrap("decode renewal", "peer", err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if renewed.Holder != "" && renewed != h.heard {
+		h.heard, h.heardAt = renewed, time.Now()
+	}
+	return struct{}{}, nil
+}
--- a/service/leaseholder/holder.go
+++ b/service/leaseholder/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -111,6 +110,9 @@
 	known  map[candidacy]bool
 	asking bool
 	askAt  time.Time
+	// written is the lease that this host wrote last; heard is the one that its holder announced last, at heardAt.
+	written, heard codec.Lease
+	heardAt        time.Time
 }
 
 // New returns a Holder and registers its peer method; Run starts it.
@@ -126,7 +128,7 @@
 	})
 	config.Peers.Handle(config.Method, h.serveStandIn)
 	if config.KnownMethod != "" {
-		config.Peers.Handle(config.KnownMethod, func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil })
+		config.Peers.Handle(config.KnownMethod, h.serveKnown)
 	}
 	return h
 }
@@ -286,7 +288,11 @@
 
 // handle passes an event to the lease, executes its commands and notes whether this host holds the lease.
 func (h *Holder) handle(ctx context.Context, event updater.LeaseEvent) {
-	for _, command := range h.apply(event) {
+	commands, renewed := h.apply(event)
+	if renewed.Holder != "" {
+		h.announce(ctx, renewed)
+	}
+	for _, command := range commands {
 		switch c := command.(type) {
 		case updater.SetLeaseTimer:
 			h.leaseTimer = c.At
@@ -298,9 +304,9 @@
 	}
 }
 
-// apply passes an event to the lease and updates the grant. It does so with the mutex held: between the count of the calls in flight
+// apply passes an event to the lease and updates the grant; renewed is the lease that this host renewed by it, if any. It does so with the mutex held: between the count of the calls in flight
 // and the decision to release the lease no call may begin.
-func (h *Holder) apply(event updater.LeaseEvent) []updater.LeaseCommand {
+func (h *Holder) apply(event updater.LeaseEvent) (commands []updater.LeaseCommand, renewed codec.Lease) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -308,13 +314,18 @@
 		e.InFlight = h.inFlight
 		event = e
 	}
+	if e, ok := event.(updater.LeaseRead); ok && e.Lease == h.heard {
+		e.Since = h.heardAt
+		event = e
+	}
 	h.noteForeign(now, event)
-	commands := h.lease.Handle(now, event)
+	commands = h.lease.Handle(now, event)
 	grant := h.lease.Grant()
 	held := !grant.Until.IsZero()
 	if held && !grant.Until.Equal(h.grant.Until) {
 		// The last write that was begun is the one that the new grant counts from.
 		h.validBoot = h.writtenBoot + h.config.Duration - h.config.Duration/marginDivisor
+		renewed = h.written
 	}
 	if held != !h.grant.Until.IsZero() {
 		title := logger.LeaseLost
@@ -330,22 +341,26 @@
 	}
 	h.grant = grant
 	for _, command := range commands {
-		if _, ok := command.(updater.WriteLease); ok {
-			h.writtenBoot = chronometer.SinceBoot()
+		if write, ok := command.(updater.WriteLease); ok {
+			h.writtenBoot, h.written = chronometer.SinceBoot(), write.Lease
 		}
 	}
-	return commands
+	return commands, renewed
 }
 
 // noteForeign starts the quiet time when a state of the lease that another process wrote is seen for the first time.
 func (h *Holder) noteForeign(now time.Time, event updater.LeaseEvent) {
 	var lease codec.Lease
+	seenAt := now
 	switch e := event.(type) {
 	case updater.LeaseRead:
 		if e.Result != updater.StoreOK {
 			return
 		}
 		lease = e.Lease
+		if !e.Since.IsZero() {
+			seenAt = e.Since
+		}
 	case updater.LeaseWritten:
 		if e.Result != updater.StoreConflict {
 			return
@@ -357,7 +372,7 @@
 	if h.config.Fenced || h.config.Quiet <= 0 || lease == h.foreign || lease.Holder == h.name {
 		return
 	}
-	h.foreign, h.quietUntil = lease, now.Add(h.config.Quiet)
+	h.foreign, h.quietUntil = lease, seenAt.Add(h.config.Quiet)
 }
 
 // notify puts a value in a channel of capacity one unless it holds one.
--- a/service/leaseholder/holder_test.go
+++ b/service/leaseholder/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -60,6 +61,8 @@
 	store    *storekeeper.Store
 	handlers map[string]connector.Handler
 	holders  map[identifier.HostID]*leaseholder.Holder
+	// kills holds the functions that end a host without a release of the lease.
+	kills map[identifier.HostID]context.CancelFunc
 
 	mu   sync.Mutex
 	live []codec.Member
@@ -68,7 +71,7 @@
 func newFleet(t *testing.T, fenced bool, ids ...identifier.HostID) *fleet {
 	f := &fleet{
 		t: t, store: storekeeper.New(), handlers: make(map[string]connector.Handler),
-		holders: make(map[identifier.HostID]*leaseholder.Holder),
+		holders: make(map[identifier.HostID]*leaseholder.Holder), kills: make(map[identifier.HostID]context.CancelFunc),
 	}
 	for _, id := range ids {
 		f.live = append(f.live, codec.Member{ID: id, Incarnation: 1})
@@ -84,7 +87,9 @@
 			Quiet: duration, KnownMethod: "duties_known",
 		})
 	}
-	for _, holder := range f.holders {
+	for id, holder := range f.holders {
+		ctx, kill := context.WithCancel(ctx)
+		f.kills[id] = kill
 		group.Go(func() { _ = holder.Run(ctx) })
 	}
 	t.Cleanup(func() {
@@ -129,14 +134,7 @@
 	first := f.await(0, 3*time.Second)
 	require.NoError(t, f.holders[first.Holder].Drain(t.Context()))
 	released := time.Now()
-	f.mu.Lock()
-	for i, member := range f.live {
-		if member.ID == first.Holder {
-			f.live = append(f.live[:i:i], f.live[i+1:]...)
-			break
-		}
-	}
-	f.mu.Unlock()
+	f.lose(first.Holder)
 	second := f.await(first.Fencing, 5*time.Second)
 	require.NotEqual(t, first.Holder, second.Holder)
 	require.GreaterOrEqual(t, time.Since(released), duration)
@@ -144,6 +142,29 @@
 	require.False(t, ok)
 }
 
+// lose makes the other hosts know that a host is gone.
+func (f *fleet) lose(id identifier.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = slices.DeleteFunc(slices.Clone(f.live), func(member codec.Member) bool { return member.ID == id })
+}
+
+// Guards against a successor that counts the lease of a killed holder only from the moment at which it takes that host for dead,
+// which made the report of a window late by a second; and against one that does not wait for the holder's last call.
+func TestSuccessorOfAKilledHolderWaitsFromTheLastRenewal(t *testing.T) {
+	f := newFleet(t, false, "a", "b", "c")
+	first := f.await(0, 3*time.Second)
+	time.Sleep(duration)
+	f.kills[first.Holder]()
+	killed := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	f.lose(first.Holder)
+	delete(f.holders, first.Holder)
+	second := f.await(first.Fencing, 5*time.Second)
+	require.Equal(t, first.Fencing+1, second.Fencing)
+	require.Less(t, time.Since(killed), 2300*time.Millisecond)
+}
+
 // Guards against further calls with a token that the receiver refused.
 func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
 	f := newFleet(t, true, "a", "b")
--- a/service/updater/lease.go
+++ b/service/updater/lease.go
@@ -42,11 +42,13 @@
 	InFlight int
 }
 
-// LeaseRead is the result of ReadLease.
+// LeaseRead is the result of ReadLease. Since is a time at which the object is known to have held the lease already, apart from the
+// read itself; zero means none.
 type LeaseRead struct {
 	Result  StoreResult
 	Version int64
 	Lease   codec.Lease
+	Since   time.Time
 }
 
 // LeaseWritten is the result of WriteLease; after a conflict it carries the current lease.
@@ -193,6 +195,9 @@
 	switch event.Result {
 	case StoreOK:
 		l.observe(now, event.Version, event.Lease)
+		if !event.Since.IsZero() && event.Since.Before(l.observedAt) {
+			l.observedAt = event.Since
+		}
 	case StoreMissing:
 		l.observe(now, 0, codec.Lease{})
 	case StoreConflict, StoreUnavailable, StoreOutcomeUnknown:
--- a/service/updater/lease_test.go
+++ b/service/updater/lease_test.go
@@ -170,3 +170,21 @@
 		}
 	}
 }
+
+// Guards against a wait that starts only with the first read although an earlier time is known, and against one that is too short.
+func TestWaitForAnotherHolderCountsFromTheTimeKnown(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for since, want := range map[time.Duration]bool{0: false, DefaultLeaseDuration + DefaultMaxOrderDelay - time.Second: false, DefaultLeaseDuration + DefaultMaxOrderDelay: true} {
+		lease := NewLease(LeaseConfig{Holder: "a"})
+		lease.Handle(start, LeaseWanted{Wanted: true})
+		read := LeaseRead{Result: StoreOK, Version: 3, Lease: codec.Lease{Holder: "b", Renewal: 3, Fencing: 1}, Since: start.Add(-since)}
+		lease.Handle(start, read)
+		commands := lease.Handle(start.Add(leaseRetry), LeaseTimerFired{})
+		if len(commands) != 1 {
+			t.Fatalf("since %s: %v", since, commands)
+		}
+		if _, writes := commands[0].(WriteLease); writes != want {
+			t.Fatalf("since %s: %v", since, commands)
+		}
+	}
+}
