--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -39,6 +39,9 @@
 	{"celerygap_admission_wait", "s", []string{"entry", "priority"}, "Time that requests of customers waited for their admission or refusal, by the priority of the customer; 9 stands for all lower ones."},
 	{"celerygap_key_checks", "requests", []string{"outcome"}, "Requests by the result of the check of their key, where keys are required."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
+	{"celerygap_duty_calls", "calls", []string{"duty", "outcome"}, "Calls of the platform that one host at a time makes."},
+	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
+	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
 	{"celerygap_engines_wanted", "engines", []string{"pool", "model"}, "Engines that the demand of a model's batch jobs calls for, on the holder of the lease for orders."},
 	{"celerygap_engines_reassigned", "engines", []string{"pool", "model"}, "Engines moved to a model because of the demand of batch jobs."},
@@ -62,6 +65,9 @@
 	keys      metric.Int64Counter
 	admission metric.Float64Histogram
 	store     metric.Int64Counter
+	duty      metric.Int64Counter
+	windows   metric.Int64Counter
+	counts    metric.Int64Counter
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
 	revision  metric.Int64Gauge
@@ -93,6 +99,9 @@
 	m.keys = b.counter("celerygap_key_checks")
 	m.admission = b.histogram("celerygap_admission_wait")
 	m.store = b.counter("celerygap_store_calls")
+	m.duty = b.counter("celerygap_duty_calls")
+	m.windows = b.counter("celerygap_usage_windows")
+	m.counts = b.counter("celerygap_usage_count_calls")
 	m.peer = b.counter("celerygap_peer_calls")
 	m.bytes = b.counter("celerygap_peer_bytes")
 	m.wait = b.floatCounter("celerygap_trainer_wait")
@@ -164,6 +173,21 @@
 		attribute.String("operation", operation), attribute.String("result", result)))
 }
 
+// DutyCalled counts a call that one host at a time makes.
+func (m *Meter) DutyCalled(duty, outcome string) {
+	m.duty.Add(context.Background(), 1, metric.WithAttributes(attribute.String("duty", duty), attribute.String("outcome", outcome)))
+}
+
+// WindowEnded counts a window of usage that was reported or given up.
+func (m *Meter) WindowEnded(result string) {
+	m.windows.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+// CountsSent counts a message with counts of requests to a collecting host.
+func (m *Meter) CountsSent(result string) {
+	m.counts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // PeerCalled counts a call to another host.
 func (m *Meter) PeerCalled(method, result string) {
 	m.peer.Add(context.Background(), 1, metric.WithAttributes(
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -164,14 +164,14 @@
 	Meter    *meter.Meter
 	Store    connector.ObjectStore
 	Platform Platform
+	// Duties is the client of the platform's calls that one host at a time makes; nil if there are none.
+	Duties connector.DutyCalls
 	// DialUpstream opens a connection to an upstream over this host's own links.
 	DialUpstream connector.DialFunc
 	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
 	// of requests in network.
 	NewUpstreams func(observer connector.Observer, network connector.Network) Upstreams
 	NewFront     func(Parts) Front
-	// DutyCalls is the client of the platform's calls that one host at a time makes; nil if there are none.
-	DutyCalls connector.DutyCalls
 }
 
 // Host is one host with all its parts; New builds it and Run runs it.
@@ -194,10 +194,11 @@
 	placer     *placer.Driver
 	demand     *demandkeeper.Driver
 	// scaler is nil unless the platform takes orders of engines.
-	scaler   *scaler.Driver
-	pacer    *pacer.Driver
-	binder   *binder.Driver
-	tunneler *tunneler.Driver
+	scaler     *scaler.Driver
+	pacer      *pacer.Driver
+	binder     *binder.Driver
+	tunneler   *tunneler.Driver
+	singletons singletons
 
 	configuration *spreader.Driver
 	upstreams     *spreader.Driver
@@ -289,11 +290,12 @@
 	h.tunneler = tunneler.NewDriver(tunneler.DriverConfig{
 		Members: h.prober, Peers: h.peers, Direct: h.config.DialUpstream, Known: h.isUpstream, Log: h.log,
 	})
+	h.buildSingletons()
 	upstreams := h.config.NewUpstreams(observer{h}, h.tunneler)
 	h.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: settings.HostID, Zone: settings.Zone, Region: settings.Region, Catalogue: h.catalogue, Upstreams: h.lister,
 		Plain: upstreams.Plain, Streams: upstreams.Streams, Meter: h.config.Meter, Log: h.log, Timer: h.timer, Random: h.random("dispatcher"),
-		Limiter: limiterConfig, Pacer: h.pacer, Origins: h.binder,
+		Limiter: limiterConfig, Pacer: h.pacer, Origins: h.binder, OnStarted: h.onStarted(),
 		OnFlagged: func(proven, suspects []codec.FlaggedFingerprint) { h.prober.Flagged(proven, suspects) },
 	})
 	h.buildBatcherAndPlacer(upstreams)
--- a/service/assembler/demand.go
+++ b/service/assembler/demand.go
@@ -9,21 +9,23 @@
 	"celerygap.example/service/scaler"
 )
 
-// dutiesLease is the key of the lease whose holder makes the platform's calls for duties.
-const dutiesLease = "leases/duties"
-
 // dutyFence returns the function that reports the fencing token of this host while it holds the lease for duties, or nil without
 // that lease. Engines are ordered only with it.
-func (h *Host) dutyFence() func() (connector.DutyFence, bool) { return nil }
+func (h *Host) dutyFence() func() (connector.DutyFence, bool) {
+	if h.singletons.holder == nil {
+		return nil
+	}
+	return h.singletons.holder.Fence
+}
 
 // buildScaler builds the driver that orders engines if the platform takes such orders.
 func (h *Host) buildScaler() {
 	duties, fence := h.config.Settings.Duties, h.dutyFence()
-	if duties == nil || !duties.Scale || h.config.DutyCalls == nil || fence == nil {
+	if duties == nil || !duties.Scale || fence == nil {
 		return
 	}
 	h.scaler = scaler.NewDriver(scaler.DriverConfig{
-		Holder: fence, Calls: h.config.DutyCalls, CallsPerSecond: duties.CallsPerSecond, Timer: h.timer, Log: h.log, Meter: h.config.Meter,
+		Holder: fence, Calls: h.config.Duties, CallsPerSecond: duties.CallsPerSecond, Timer: h.timer, Log: h.log, Meter: h.config.Meter,
 	})
 }
 
@@ -37,7 +39,7 @@
 	if h.scaler != nil {
 		fence := h.dutyFence()
 		config.Loads = h.scaler.Loads
-		config.Leases = append(config.Leases, demandkeeper.Lease{Key: dutiesLease, Holds: func() bool {
+		config.Leases = append(config.Leases, demandkeeper.Lease{Key: dutiesLeaseKey, Holds: func() bool {
 			_, held := fence()
 			return held
 		}})
