spreader: a host that was paused does not take its configuration for current

Cause: messages that arrive while a process is stopped are read after it resumes, and made an outdated configuration look confirmed, so that a new key could be refused for good. Change: the time until which the state is certainly current counts from the start of a request of this host, or from a message outside of the second after a pause.

--- a/service/spreader/driver.go
+++ b/service/spreader/driver.go
@@ -72,6 +72,7 @@
 
 	mu       sync.Mutex
 	machine  *Spreader
+	current  Confirmation
 	sequence int64
 	// forwarded is the confirmation that was last passed on; downForwardedAt is when a report that the store is down was.
 	forwarded       time.Time
@@ -127,11 +128,11 @@
 	}
 }
 
-// ConfirmedAt returns when the state was last compared with the store, as far as this host knows; it is zero without a comparison.
+// ConfirmedAt returns when the state was last known to be current; it is zero if that was never known.
 func (d *Driver) ConfirmedAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.ConfirmedAt()
+	return d.current.At(time.Now())
 }
 
 func (d *Driver) needsCheck(role Role) bool {
@@ -144,6 +145,7 @@
 // the store may never answer the watch in progress either, so suspect ends it: otherwise the state would be confirmed again once
 // the store responds, although the watch brings no changes.
 func (d *Driver) confirm(ctx context.Context, recipients []codec.Member, suspect func()) {
+	asked := time.Now()
 	if !d.storeResponds(ctx) {
 		suspect()
 		d.reportDown(ctx, recipients)
@@ -151,6 +153,7 @@
 	}
 	d.mu.Lock()
 	d.machine.Check(time.Now())
+	d.current.Asked(asked, 0)
 	d.mu.Unlock()
 	d.push(ctx, recipients)
 }
@@ -159,6 +162,7 @@
 func (d *Driver) role(ctx context.Context) Role {
 	now := time.Now()
 	d.mu.Lock()
+	d.current.Alive(now)
 	if d.config.Settled == nil || d.config.Settled() {
 		d.machine.Settle(now)
 	}
@@ -175,12 +179,16 @@
 // pull requests the state from other hosts until one has a current state.
 func (d *Driver) pull(ctx context.Context, sources []codec.Member) {
 	for _, source := range sources {
+		asked := time.Now()
 		push, err := d.pullFrom(ctx, source)
 		if err != nil || push.Revision == 0 {
 			continue
 		}
 		d.mu.Lock()
-		_, changed := d.machine.Receive(time.Now(), push)
+		reply, changed := d.machine.Receive(time.Now(), push)
+		if reply.Revision == push.Revision {
+			d.current.Asked(asked, push.Age.Std())
+		}
 		d.publish(changed)
 		d.forward(changed)
 		d.mu.Unlock()
@@ -223,7 +231,9 @@
 	config.OnUpdate = func(update follower.Update) {
 		d.mu.Lock()
 		changed := d.machine.Apply(update.Revision, update.Objects)
-		d.machine.Check(time.Now())
+		now := time.Now()
+		d.machine.Check(now)
+		d.current.Told(now, now)
 		d.publish(changed)
 		d.mu.Unlock()
 		if changed {
@@ -340,6 +350,9 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	reply, changed := d.machine.Receive(now, push)
+	if !push.StoreDown && reply.Revision == push.Revision {
+		d.current.Told(now, now.Add(-push.Age.Std()))
+	}
 	d.publish(changed)
 	if push.StoreDown {
 		d.forwardDown(now)
