--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -130,7 +130,7 @@
 		Job: job, SubmittedAt: head.SubmittedAt, Results: initial.results, Progress: initial.progress, Saved: initial.saved,
 	}))
 	d.execute(d.machine.Handle(now, d.routes()))
-	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
+	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(initial.results)).
 		Int("saved", len(initial.saved)).Int("progress", len(initial.progress)).Time("submitted_at", head.SubmittedAt).Send()
 	d.work.Go(func() { d.announce(head) })
