batcher: texts of one customer's ended jobs are not reused for another one's

Cause: an item whose id an ended job of the same model had used went on with that job's text, also if the job was another customer's. Change: only texts of the same customer are reused.

--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -151,12 +151,12 @@
 	}
 }
 
-// earlierProgress returns the longest text of an item among the ended jobs of the same model, or nil.
+// earlierProgress returns the longest text of an item among the ended jobs of the same model and customer, or nil.
 func (b *Batcher) earlierProgress(j *job, id identifier.ItemID) *codec.ItemProgress {
 	var best *codec.ItemProgress
 	for _, other := range b.jobs {
 		it, ok := other.byID[id]
-		if !ok || other == j || !other.ended || other.job.Model != j.job.Model || !it.allowedIn(j) || len(it.events) == 0 {
+		if !ok || other == j || !other.ended || other.job.Model != j.job.Model || other.job.Customer != j.job.Customer || !it.allowedIn(j) || len(it.events) == 0 {
 			continue
 		}
 		if progress := it.progress(); best == nil || len(progress.Events) > len(best.Events) {
--- a/service/batcher/turns_test.go
+++ b/service/batcher/turns_test.go
@@ -140,3 +140,22 @@
 	}
 	require.Contains(t, p.finished, identifier.BatchID("late"), "a job of a low priority comes before those that are submitted much later")
 }
+
+// Guards against a text of one customer that becomes part of the result of another one, whose job has an item of the same id.
+func TestTextsOfOtherCustomersAreNotReused(t *testing.T) {
+	for customer, after := range map[identifier.CustomerName]identifier.EventNumber{"a": 1, "b": 0} {
+		p := newJobPlay(t)
+		job := codec.BatchJob{ID: "first", Model: model, MinVersion: 2, Customer: "a", Items: []codec.BatchItem{item("i", 0)}}
+		p.submit("first", "a", 0)
+		p.handle(batcher.JobDropped{Job: "first"})
+		p.handle(batcher.JobOpened{Job: job, SubmittedAt: p.now})
+		p.handle(batcher.RoutesChanged{Entries: p.entries})
+		p.event(p.lastRun(), 1, 2)
+		p.handle(batcher.JobEnded{Job: "first"})
+		job.ID, job.Customer = "second", customer
+		p.entries["second"] = p.entries["first"]
+		p.handle(batcher.JobOpened{Job: job, SubmittedAt: p.now})
+		p.handle(batcher.RoutesChanged{Entries: p.entries})
+		require.Equal(t, after, p.runs[p.lastRun()].After, customer)
+	}
+}
