batcher: an acceptance by a home of a build without customers is checked

Cause: beside hosts of the former build, a submission with the id of another customer's job got 202, since the home accepts every known id. Change: a reply says whether the customer was checked; if not, the host that took the submission reads the customer from the store.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1352,6 +1352,9 @@
 type SubmitReply struct {
 	Accepted bool `json:"accepted"`
 
+	// CustomerChecked The sender knows customers; otherwise the job may have existed for another customer.
+	CustomerChecked bool `json:"customer_checked,omitempty"`
+
 	// IDTaken The id denotes a job of another customer.
 	IDTaken bool `json:"id_taken,omitempty"`
 
--- a/service/batcher/customer.go
+++ b/service/batcher/customer.go
@@ -71,6 +71,23 @@
 	return job.Customer == "" || mayUse(job.Customer, owner)
 }
 
+// checkAccepted returns the outcome of a submission that the home of the job has accepted. A home of a build without customers also
+// accepts the id of another customer's job, so the customer is read from the store.
+func (d *Driver) checkAccepted(ctx context.Context, job codec.BatchJob, reply codec.SubmitReply) (connector.BatchStatus, error) {
+	if job.Customer == "" || reply.CustomerChecked {
+		return connector.BatchAccepted, nil
+	}
+	owner, err := d.config.Keeper.Customer(ctx, job.ID)
+	switch {
+	case err != nil:
+		return connector.BatchOutcomeUnknown, err
+	case !mayUse(job.Customer, owner):
+		return d.refuseTaken(job)
+	default:
+		return connector.BatchAccepted, nil
+	}
+}
+
 // refuseTaken logs that a submission uses the id of another customer's job, and returns the outcome.
 func (d *Driver) refuseTaken(job codec.BatchJob) (connector.BatchStatus, error) {
 	d.config.Log.Info(logger.JobRefused).Str("request", string(job.ID)).Str("customer", string(job.Customer)).
--- a/service/batcher/customer_test.go
+++ b/service/batcher/customer_test.go
@@ -1,6 +1,7 @@
 package batcher_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -120,3 +121,27 @@
 		require.Equal(t, connector.BatchAccepted, status)
 	}
 }
+
+// Guards against a submission that is accepted although its id denotes another customer's job, because the home of the job is of a build
+// without customers and accepts it.
+func TestAcceptanceByAnOlderBuildIsChecked(t *testing.T) {
+	c := newCluster(t, 30*time.Millisecond)
+	hosts := map[identifier.HostID]*host{"a": c.add("a"), "b": c.add("b")}
+	_, err := hosts["a"].Submit(t.Context(), submissionOf("owner"))
+	require.NoError(t, err)
+	head, err := batchkeeper.New(c.store).Head(t.Context(), jobID)
+	require.NoError(t, err)
+	c.network.mu.Lock()
+	c.network.handlers[head.Owner]["batch_submit"] = func(context.Context, json.RawMessage) (any, error) {
+		return map[string]bool{"accepted": true}, nil
+	}
+	c.network.mu.Unlock()
+	delete(hosts, head.Owner)
+	for _, other := range hosts {
+		status, _ := other.Submit(t.Context(), submissionOf("other"))
+		require.Equal(t, connector.BatchIDTaken, status)
+		status, err = other.Submit(t.Context(), submissionOf("owner"))
+		require.NoError(t, err)
+		require.Equal(t, connector.BatchAccepted, status)
+	}
+}
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -57,11 +57,11 @@
 	outcomeUnknown := false
 	if home.ID != d.config.Self.ID {
 		var reply codec.SubmitReply
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err := d.config.Peers.Call(ctx, home, methodSubmit, codec.SubmitBatch{From: d.config.Self.ID, Job: job, SubmittedAt: time.Now()}, &reply)
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := d.config.Peers.Call(callCtx, home, methodSubmit, codec.SubmitBatch{From: d.config.Self.ID, Job: job, SubmittedAt: time.Now()}, &reply)
 		cancel()
 		if err == nil && reply.Accepted {
-			return connector.BatchAccepted, nil
+			return d.checkAccepted(ctx, job, reply)
 		}
 		if err == nil && reply.IDTaken {
 			return d.refuseTaken(job)
@@ -193,7 +193,8 @@
 		return nil, annotator.Wrap("decode batch submission", "peer", err)
 	}
 	if d.isOwned(request.Job.ID) {
-		return codec.SubmitReply{Accepted: d.mayResubmit(request.Job), IDTaken: !d.mayResubmit(request.Job)}, nil
+		allowed := d.mayResubmit(request.Job)
+		return codec.SubmitReply{Accepted: allowed, IDTaken: !allowed, CustomerChecked: true}, nil
 	}
 	if d.isDraining() {
 		return codec.SubmitReply{}, nil
@@ -204,6 +205,7 @@
 	}
 	return codec.SubmitReply{
 		Accepted: status == connector.BatchAccepted, Uncertain: status == connector.BatchOutcomeUnknown, IDTaken: status == connector.BatchIDTaken,
+		CustomerChecked: true,
 	}, nil
 }
 
