--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -70,25 +70,6 @@
 // hideOutcomeUnknown returns an error with the same text that no longer wraps connector.ErrOutcomeUnknown.
 func hideOutcomeUnknown(err error) error { return errors.New(err.Error()) }
 
-// createPart accepts a part that exists already, since a job ID always denotes the same content of one customer. Without the check
-// of the customer, a submission that wrote its parts but not its head would pass them to the next customer that chooses the id.
-func (k *Keeper) createPart(ctx context.Context, key string, part json.RawMessage, customer identifier.CustomerName) error {
-	var err error
-	for range maxWriteAttempts {
-		_, err = k.store.Put(ctx, key, 0, part)
-		if err == nil {
-			return nil
-		}
-		if conflict, exists := connector.AsConflict(err); exists {
-			return k.checkPart(ctx, key, conflict.Current, customer)
-		}
-		if !errors.Is(err, connector.ErrOutcomeUnknown) || !waitRetry(ctx) {
-			return err
-		}
-	}
-	return err
-}
-
 func (k *Keeper) createHead(ctx context.Context, id identifier.BatchID, head codec.BatchHead) (Head, bool, error) {
 	value, err := json.Marshal(head)
 	if err != nil {
