--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -324,7 +324,7 @@
 	if outcome == connector.DutyRejected && d.config.Fenced {
 		d.config.Lease.Refused(fence.Fencing)
 	}
-	d.config.Lease.Reached(outcome != connector.DutyFailed && outcome != connector.DutyOutcomeUnknown)
+	d.config.Lease.Reached(connector.FailureOf(err) != connector.FailureConnectFailed)
 	line := d.config.Log.Info(logger.UsageReported)
 	if outcome != connector.DutyAccepted {
 		line = d.config.Log.Warn(logger.UsageFailed)
--- a/service/assembler/singleton.go
+++ b/service/assembler/singleton.go
@@ -18,6 +18,8 @@
 	dutiesStandIn  = "duties_stand_in"
 	// dutiesKnown is the peer method by which a host tells that it does duties.
 	dutiesKnown = "duties_known"
+	// dutiesReach is the peer method that asks whether a host finds a connection to the platform's API for duties.
+	dutiesReach = "duties_reach"
 	// dutyCallDelay bounds the time from the check of the lease until a duty call takes effect: the call itself takes at most
 	// 1.5 s, and one without a response may be executed a little later. A longer bound would make the successor of a killed
 	// holder late for the report of a window.
@@ -41,7 +43,7 @@
 		Duration: settings.LeaseDuration, Fenced: settings.Fenced, CallDelay: dutyCallDelay,
 		// The former holder's calls end within dutyCallDelay of its release, and two changes take longer than a lease.
 		Quiet: max(dutyCallDelay, settings.LeaseDuration), Settled: h.settled,
-		KnownMethod: dutiesKnown,
+		KnownMethod: dutiesKnown, ReachMethod: dutiesReach, CanReach: h.reachesDuties,
 	})
 	if !settings.Duties.Usage || settings.Duties.UsageWindow <= 0 {
 		return
@@ -55,6 +57,16 @@
 	})
 }
 
+// reachesDuties reports whether this host finds a connection to the platform's API for duties.
+func (h *Host) reachesDuties(ctx context.Context) bool {
+	conn, err := h.config.DialUpstream(ctx, "tcp", h.config.Settings.Duties.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // onStarted returns the function that counts a request that an upstream began to run; nil if usage is not reported.
 func (h *Host) onStarted() func(identifier.CustomerName, time.Time) {
 	if h.singletons.accountant == nil {
--- a/service/leaseholder/holder.go
+++ b/service/leaseholder/holder.go
@@ -59,6 +59,10 @@
 	// KnownMethod is a peer method by which a host tells that it can hold the lease; empty means that each host can. Hosts of an
 	// earlier build do not know it and are not considered as candidates.
 	KnownMethod string
+	// CanReach reports whether this host can connect to the receiver of the calls. ReachMethod is the peer method by which a holder
+	// that cannot asks whether another host can, before it hands the lease over. Both are empty if it never does.
+	CanReach    func(ctx context.Context) bool
+	ReachMethod string
 	// OnAcquired is called when this host acquires the lease, before Grant returns it. It must not block and must not call the
 	// Holder.
 	OnAcquired func()
@@ -94,11 +98,13 @@
 	quietUntil time.Time
 	// refused is the highest fencing token that a receiver refused as outdated.
 	refused identifier.Fencing
-	// unreached counts the calls in a row that did not reach the receiver, the first of them at unreachedSince.
-	unreached      int
-	unreachedSince time.Time
-	draining       bool
-	drained        chan struct{}
+	// unreached counts the calls in a row that found no connection to the receiver. searching is set while this host asks whether
+	// another one finds one; reaching is a host that does.
+	unreached int
+	searching bool
+	reaching  identifier.HostID
+	draining  bool
+	drained   chan struct{}
 	// standInUntil is how long this host wants the lease as stand-in holder for one that cannot do the duty; yielded is the
 	// fencing token that the other host no longer uses.
 	standInUntil time.Time
@@ -130,6 +136,9 @@
 	if config.KnownMethod != "" {
 		config.Peers.Handle(config.KnownMethod, h.serveKnown)
 	}
+	if config.ReachMethod != "" {
+		config.Peers.Handle(config.ReachMethod, h.serveReach)
+	}
 	return h
 }
 
@@ -200,19 +209,15 @@
 	notify(h.wake)
 }
 
-// Reached reports whether a call reached its receiver. After several calls that did not, the lease is handed over, since another
-// host may reach it.
+// Reached reports whether a call found a connection to its receiver. After several calls that did not, the lease is handed over to
+// a host that finds one.
 func (h *Holder) Reached(reached bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.unreached++
 	if reached {
-		h.unreached = 0
-		return
+		h.unreached, h.reaching = 0, ""
 	}
-	if h.unreached == 0 {
-		h.unreachedSince = time.Now()
-	}
-	h.unreached++
 }
 
 // Drain makes Run release the lease once the calls in flight have ended, and waits for that. It returns the error of ctx if ctx
@@ -246,6 +251,7 @@
 		case <-h.wake:
 		}
 		h.askCandidate(ctx)
+		h.searchReach(ctx)
 		h.advance(ctx)
 	}
 }
@@ -331,7 +337,7 @@
 		title := logger.LeaseLost
 		if held {
 			title = logger.LeaseAcquired
-			h.unreached = 0
+			h.unreached, h.reaching = 0, ""
 			if h.config.OnAcquired != nil {
 				h.config.OnAcquired()
 			}
