--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -29,6 +29,8 @@
 	collectors = 2
 	// tickInterval bounds how late a message, a write or a report is started.
 	tickInterval = 200 * time.Millisecond
+	// chooseInterval is how long a choice of the collecting hosts is used; the choice among many hosts takes about 0.1 ms.
+	chooseInterval = 500 * time.Millisecond
 	// peerTimeout bounds a call to another host, flushTimeout the sending of the last counts.
 	peerTimeout  = 400 * time.Millisecond
 	flushTimeout = time.Second
@@ -88,6 +90,9 @@
 	// failing holds the destinations whose last message failed, so that a lasting failure is logged once.
 	failing map[Destination]bool
 	leaving bool
+	// chosen are the collecting hosts until chosenUntil.
+	chosen      []codec.Member
+	chosenUntil time.Time
 }
 
 // NewDriver returns a Driver and registers its peer methods; Run starts it.
@@ -144,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	d.mu.Lock()
-	d.leaving = true
+	d.leaving, d.chosenUntil = true, time.Time{}
 	d.mu.Unlock()
 	ticks, stop := d.config.Timer.Subscribe(flushInterval)
 	defer stop()
@@ -175,6 +180,13 @@
 
 // collecting returns the collecting hosts. The mutex must be held.
 func (d *Driver) collecting() []codec.Member {
+	if now := time.Now(); now.After(d.chosenUntil) {
+		d.chosen, d.chosenUntil = d.choose(), now.Add(chooseInterval)
+	}
+	return d.chosen
+}
+
+func (d *Driver) choose() []codec.Member {
 	live := d.config.Members.Live()
 	var without []identifier.HostID
 	if d.leaving {
@@ -219,6 +231,7 @@
 	case peerconnector.LacksMethod(err):
 		result = "lacking"
 		d.lacking[send.To] = true
+		d.chosenUntil = time.Time{}
 	case err != nil:
 		result = "failed"
 		// The map holds at most the collecting hosts of this moment.
--- a/service/leaseholder/candidate.go
+++ b/service/leaseholder/candidate.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// askTimeout bounds a call that asks a candidate whether it can hold the lease; askInterval is the pause after one.
+	// askTimeout bounds a call that asks a candidate whether it can hold the lease; askInterval is the time
+	// between two checks whether there is one to ask, because the choice among many hosts takes about 0.1 ms.
 	askTimeout  = 500 * time.Millisecond
-	askInterval = time.Second
+	askInterval = 500 * time.Millisecond
 )
 
 // candidacy is a process of a host that is or was the first candidate.
@@ -48,7 +49,13 @@
 
 // askCandidate asks a new candidate once whether it can hold the lease, so that another one is chosen if it cannot.
 func (h *Holder) askCandidate(ctx context.Context) {
-	if h.config.KnownMethod == "" {
+	h.mu.Lock()
+	due := h.config.KnownMethod != "" && !h.asking && !time.Now().Before(h.askAt)
+	if due {
+		h.askAt = time.Now().Add(askInterval)
+	}
+	h.mu.Unlock()
+	if !due {
 		return
 	}
 	candidate, ok := h.candidate()
@@ -58,19 +65,18 @@
 	of := candidacy{candidate.ID, candidate.Incarnation}
 	h.mu.Lock()
 	_, asked := h.known[of]
-	if asked || h.asking || time.Now().Before(h.askAt) {
-		h.mu.Unlock()
+	h.asking = !asked
+	h.mu.Unlock()
+	if asked {
 		return
 	}
-	h.asking = true
-	h.mu.Unlock()
 	h.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		err := h.config.Peers.Call(ctx, candidate, h.config.KnownMethod, codec.Lease{}, nil)
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.asking, h.askAt = false, time.Now().Add(askInterval)
+		h.asking = false
 		if err == nil || peerconnector.LacksMethod(err) {
 			h.known[of] = err == nil
 		}
--- a/service/leaseholder/holder.go
+++ b/service/leaseholder/holder.go
@@ -112,7 +112,7 @@
 	// handedOverUntil is how long this host leaves the lease to its stand-in holder.
 	handedOverUntil time.Time
 	// known tells of the processes that were candidates whether they know KnownMethod. asking is set during a call of it, askAt is
-	// when the next call may be made.
+	// when the candidate is checked next.
 	known  map[candidacy]bool
 	asking bool
 	askAt  time.Time
