--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -111,7 +111,7 @@
 func (c *completion) ended(now time.Time, r *run, complete bool) {
 	c.profile.Handle(now, profiler.Ended{Upstream: r.engine.host.ID, StartedAt: r.startedAt})
 	if complete {
-		c.lengths.learn(r.job.job.Model, r.item.spec.ExpectedTokens, len(r.item.events))
+		c.lengths.learn(r.job.job.Model, r.item.hint, len(r.item.events))
 	}
 }
 
@@ -182,7 +182,7 @@
 }
 
 func (b *Batcher) remainingEvents(j *job, it *item) float64 {
-	return b.completion.lengths.remaining(j.job.Model, it.spec.ExpectedTokens, len(it.events))
+	return b.completion.lengths.remaining(j.job.Model, it.hint, len(it.events))
 }
 
 // expectedLoad returns the expected number of requests of all hosts on an engine.
--- a/service/batcher/demand.go
+++ b/service/batcher/demand.go
@@ -155,13 +155,8 @@
 	return work
 }
 
-// expectedEvents returns the expected length of an item's text.
-func (it *item) expectedEvents(typical float64) float64 {
-	if it.spec.ExpectedTokens > 0 {
-		return float64(it.spec.ExpectedTokens)
-	}
-	return typical
-}
+// expectedEvents returns the expected length of an item's text; typical is the mean over the texts of its model.
+func (it *item) expectedEvents(typical float64) float64 { return it.hint * typical }
 
 // expectedEvents returns the expected length of all texts of the job.
 func (j *job) expectedEvents(typical float64) float64 {
@@ -191,7 +186,7 @@
 	return shares
 }
 
-// typicalEvents returns the mean length of the complete texts of recent jobs, for items whose submitter states no length.
+// typicalEvents returns the mean length of the complete texts of recent jobs.
 func typicalEvents(now time.Time, jobs []*job) float64 {
 	events, texts := 0, 0
 	for _, j := range jobs {
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -25,7 +25,10 @@
 type item struct {
 	spec     *codec.BatchItem
 	position int
-	state    itemState
+	// hint is the length that the submitter expects of the text in relation to the mean of those of the job; 1 if it states none.
+	// Submitters state tokens, of which an event may hold many.
+	hint  float64
+	state itemState
 	// events holds the text so far; versions holds the weight versions that generated it, in order of first use.
 	events   []string
 	versions []identifier.WeightVersion
@@ -117,10 +120,11 @@
 		results: event.Results,
 	}
 	for i := range event.Job.Items {
-		it := &item{spec: &event.Job.Items[i], position: i, state: itemWaiting}
+		it := &item{spec: &event.Job.Items[i], position: i, state: itemWaiting, hint: 1}
 		j.items = append(j.items, it)
 		j.byID[it.spec.ID] = it
 	}
+	setHints(j.items)
 	j.startOrder = slices.Clone(j.items)
 	slices.SortStableFunc(j.startOrder, func(x, y *item) int { return cmp.Compare(y.spec.ExpectedTokens, x.spec.ExpectedTokens) })
 	j.markListed()
@@ -142,6 +146,22 @@
 	return j
 }
 
+// setHints relates the lengths that the submitter of a job expects to their mean.
+func setHints(items []*item) {
+	var sum, count float64
+	for _, it := range items {
+		if it.spec.ExpectedTokens > 0 {
+			sum += float64(it.spec.ExpectedTokens)
+			count++
+		}
+	}
+	for _, it := range items {
+		if it.spec.ExpectedTokens > 0 {
+			it.hint = float64(it.spec.ExpectedTokens) * count / sum
+		}
+	}
+}
+
 // markListed finishes the items whose results the store holds.
 func (j *job) markListed() {
 	for _, result := range j.results {
--- a/service/batcher/leaving.go
+++ b/service/batcher/leaving.go
@@ -39,7 +39,7 @@
 			if r.stopped != "" {
 				continue
 			}
-			if now.Before(last) && (!now.Add(r.expectedRest(now, typical)).After(last) || !b.hasFreeEngine(now, r, moves)) {
+			if now.Before(last) && (!now.Add(b.expectedRest(now, r, typical)).After(last) || !b.hasFreeEngine(now, r, moves)) {
 				continue
 			}
 			b.stop(r, StopEngineLeaving)
@@ -49,11 +49,8 @@
 }
 
 // expectedRest returns how long the run will still take: what the text lacks, at the speed of the run, or that of its engine.
-func (r *run) expectedRest(now time.Time, typical time.Duration) time.Duration {
-	events := max(len(r.item.events), minRemainingEvents)
-	if expected := int(r.item.spec.ExpectedTokens); expected > 0 {
-		events = max(expected-len(r.item.events), 1)
-	}
+func (b *Batcher) expectedRest(now time.Time, r *run, typical time.Duration) time.Duration {
+	events := max(int(b.remainingEvents(r.job, r.item)), 1)
 	interval := r.interval()
 	if interval == 0 && r.engine.measured(now) {
 		interval = r.engine.eventInterval
--- a/service/batcher/lengths.go
+++ b/service/batcher/lengths.go
@@ -7,20 +7,18 @@
 )
 
 const (
-	// lengthBuckets covers lengths from 1 to 65536 events, and ratios to the expected length from 1/256 to 256, in steps of a
-	// fourth root of two.
+	// lengthBuckets covers lengths from 1 to 65536 events in steps of a fourth root of two.
 	lengthBuckets = 64
 	bucketsPerTwo = 4
-	ratioOffset   = lengthBuckets / 2
 	// maxModels bounds the models of which lengths are learned; further ones have the prior.
 	maxModels = 256
 	// priorWeight is how many texts the prior counts for, and lengthMemory after how many texts an old one counts half.
-	priorWeight  = 16
+	priorWeight  = 4
 	lengthMemory = 512
-	// priorSpread and priorLength describe the lengths before any text is complete, as logarithms to base 2: texts of about 64
-	// events, most between 32 and 128, and as far off where the length is expected.
+	// priorSpread and priorLength describe the lengths before any text is complete, as logarithms to base 2: texts of about 32
+	// events, most between 16 and 64.
 	priorSpread = 0.9
-	priorLength = 6
+	priorLength = 5
 )
 
 // histogram counts texts by bucket, with weights that grow so that older texts count less.
@@ -78,51 +76,38 @@
 	return sizes
 }()
 
-// lengths is the learned distribution of the lengths of texts by model: in relation to the expected length where the item names
-// one, and in events where it does not.
+// lengths is the learned distribution of the lengths of texts by model, divided by the hints of the items: what the submitter expects
+// of one item in relation to the others of its job.
 type lengths struct {
-	models map[identifier.ModelName]*modelLengths
-	prior  *modelLengths
-}
-
-type modelLengths struct{ ratios, events *histogram }
-
-func newModelLengths() *modelLengths {
-	return &modelLengths{ratios: newHistogram(ratioOffset), events: newHistogram(priorLength * bucketsPerTwo)}
+	models map[identifier.ModelName]*histogram
+	prior  *histogram
 }
 
 func newLengths() *lengths {
-	return &lengths{models: make(map[identifier.ModelName]*modelLengths), prior: newModelLengths()}
+	return &lengths{models: make(map[identifier.ModelName]*histogram), prior: newHistogram(priorLength * bucketsPerTwo)}
 }
 
 // learn adds a complete text.
-func (l *lengths) learn(model identifier.ModelName, expected identifier.Tokens, events int) {
+func (l *lengths) learn(model identifier.ModelName, hint float64, events int) {
 	known, ok := l.models[model]
 	if !ok {
 		if len(l.models) >= maxModels {
 			return
 		}
-		known = newModelLengths()
+		known = newHistogram(priorLength * bucketsPerTwo)
 		l.models[model] = known
 	}
-	length := math.Log2(float64(max(events, 1)))
-	known.events.add(int(math.Round(bucketsPerTwo * length)))
-	if expected > 0 {
-		known.ratios.add(ratioOffset + int(math.Round(bucketsPerTwo*(length-math.Log2(float64(expected))))))
-	}
+	known.add(int(math.Round(bucketsPerTwo * math.Log2(max(float64(events)/hint, 1)))))
 }
 
 // remaining returns the expected number of events that a text of a model still gets.
-func (l *lengths) remaining(model identifier.ModelName, expected identifier.Tokens, events int) float64 {
+func (l *lengths) remaining(model identifier.ModelName, hint float64, events int) float64 {
 	known, ok := l.models[model]
 	if !ok {
 		known = l.prior
 	}
-	if expected > 0 {
-		return known.ratios.remaining(float64(expected)/bucketSize[ratioOffset], float64(events))
-	}
-	return known.events.remaining(1, float64(events))
+	return known.remaining(hint, float64(events))
 }
 
-// mean returns the expected length of a text of a model without an expected length.
-func (l *lengths) mean(model identifier.ModelName) float64 { return l.remaining(model, 0, 0) }
+// mean returns the expected length of a text of a model whose hint is 1.
+func (l *lengths) mean(model identifier.ModelName) float64 { return l.remaining(model, 1, 0) }
--- a/service/batcher/moves.go
+++ b/service/batcher/moves.go
@@ -26,8 +26,9 @@
 	// slow, if its relative error is below maxLastingError.
 	lastingRatio    = 1.5
 	maxLastingError = 0.2
-	// maxEngineQueue bounds the time for which a run may be expected to wait at its engine.
-	maxEngineQueue = 6 * time.Second
+	// maxEngineQueue bounds the time for which a run may be expected to wait at its engine: a longer wait looks like an engine that
+	// hangs, and other engines are free before that.
+	maxEngineQueue = time.Second
 )
 
 // moveByCompletion stops the runs whose move to another engine is expected to bring the completion of their groups forward by
--- a/service/batcher/play_test.go
+++ b/service/batcher/play_test.go
@@ -38,6 +38,8 @@
 	sharedPart  = 1500
 	ownPart     = 300
 	readPerMs   = 500
+	// tokensPerEvent is the number of tokens of one event.
+	tokensPerEvent = 80
 )
 
 type agendaEvent struct {
@@ -285,7 +287,8 @@
 		for i := range 8 {
 			item := codec.BatchItem{ID: identifier.ItemID(fmt.Sprint(id, "-", g, "-", i)), Path: "/p", Group: group, Tokens: sharedPart + ownPart}
 			length := min(200, max(5, 60*math.Exp(0.5*p.random.NormFloat64())))
-			item.ExpectedTokens = identifier.Tokens(max(1, length*math.Exp(0.5*p.random.NormFloat64())))
+			// Submitters expect tokens, of which an event holds many.
+			item.ExpectedTokens = identifier.Tokens(max(1, tokensPerEvent*length*math.Exp(0.5*p.random.NormFloat64())))
 			p.lengths[item.ID] = int(length)
 			job.Items = append(job.Items, item)
 		}
