--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -84,6 +84,12 @@
 	EnginesOrdered        Event = 7020
 	EngineOrderFailed     Event = 7021
 	DutyOrdersBegan       Event = 7022
+	FencingRefused        Event = 7006
+	UsageWritten          Event = 7031
+	UsageReported         Event = 7032
+	UsageFailed           Event = 7033
+	UsageOverdue          Event = 7034
+	CountsNotSent         Event = 7035
 	SnapshotOverdue       Event = 8001
 	SnapshotBuilderTook   Event = 8002
 )
@@ -161,6 +167,12 @@
 	{EnginesOrdered, "engines ordered", "The holder of the lease for duties ordered a number of engines of one kind in a zone, and the platform accepted it. The field reason names why: minimum, need, surplus or cheaper; peak, required and have are the work, the engines that it calls for and those there are in the whole pool.", "No action is needed."},
 	{EngineOrderFailed, "order of engines failed", "The platform did not accept an order of engines; the field outcome tells whether it has none there (rejected), was called too often (throttled) or did not respond (unknown). Rejected orders are placed elsewhere, others are repeated.", "Check the platform's API for duties if this is repeated."},
 	{DutyOrdersBegan, "orders of engines began or ended", "This host began or ceased to decide the number of engines, because it acquired or lost the lease for duties. It orders nothing for one boot time after the beginning.", "No action is needed."},
+	{FencingRefused, "fencing token refused", "The platform refused the fencing token of this host as outdated, so this host makes no further calls with it and releases the lease.", "No action is needed if this is rare; otherwise check whether two fleets use the same platform."},
+	{UsageWritten, "usage written", "The host with the duty wrote what it will report for the window in the field window: requests of all customers together, and from how many hosts counts arrived. A line with an error means that the write failed and is retried.", "No action is needed without an error; otherwise check the platform's store."},
+	{UsageReported, "usage reported", "The platform accepted the usage of a window; the field late is the time since the end of the window.", "No action is needed."},
+	{UsageFailed, "report of usage failed", "The platform did not confirm the usage of a window. The same report is repeated.", "Check the platform's API for duties if this is frequent."},
+	{UsageOverdue, "usage not reported", "The usage of a window could not be reported in time and is given up.", "Report the counts of the line by hand; check the platform's store and its API for duties."},
+	{CountsNotSent, "counts not sent", "This host could not send its counts of requests to the collecting host in the field peer; it repeats them.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{SnapshotOverdue, "snapshot overdue", "No new snapshot for the screens arrived in time; the screens show the age of the last one.", "Check the host in the field builder, which builds the snapshots."},
 	{SnapshotBuilderTook, "snapshot builder took over", "This host now builds the snapshots for the screens.", "No action is needed."},
 }
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -126,7 +126,7 @@
 	if h.scaler != nil {
 		duties = append(duties, grouper.Duty{Name: "scaler", Run: h.scaler.Run})
 	}
-	return append(duties, h.lister.Duties()...)
+	return append(append(duties, h.singletonDuties()...), h.lister.Duties()...)
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -267,6 +267,7 @@
 	waitEnds := time.Now().Add(settings.DrainWait)
 	h.logStep("hand over batch jobs", h.batcher.HandOver(drainCtx))
 	h.logStep("release lease", h.placer.Drain(drainCtx))
+	h.logStep("release duties", h.releaseDuties(drainCtx))
 	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, leaveTimeout)
 	h.logStep("leave", h.prober.Leave(leaveCtx))
 	cancelLeave()
@@ -274,6 +275,7 @@
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
 	h.logStep("finish connections", h.callers.Shutdown(drainCtx))
 	h.logStep("finish requests", h.finishRequests(drainCtx))
+	h.logStep("send last counts", h.sendLastCounts(drainCtx))
 	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
 	return nil
 }
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -57,11 +57,11 @@
 	outcomeUnknown := false
 	if home.ID != d.config.Self.ID {
 		var reply codec.SubmitReply
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err := d.config.Peers.Call(ctx, home, methodSubmit, codec.SubmitBatch{From: d.config.Self.ID, Job: job, SubmittedAt: time.Now()}, &reply)
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := d.config.Peers.Call(callCtx, home, methodSubmit, codec.SubmitBatch{From: d.config.Self.ID, Job: job, SubmittedAt: time.Now()}, &reply)
 		cancel()
 		if err == nil && reply.Accepted {
-			return connector.BatchAccepted, nil
+			return d.checkAccepted(ctx, job, reply)
 		}
 		if err == nil && reply.IDTaken {
 			return d.refuseTaken(job)
@@ -130,7 +130,7 @@
 		Job: job, SubmittedAt: head.SubmittedAt, Results: initial.results, Progress: initial.progress, Saved: initial.saved,
 	}))
 	d.execute(d.machine.Handle(now, d.routes()))
-	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
+	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(initial.results)).
 		Int("saved", len(initial.saved)).Int("progress", len(initial.progress)).Time("submitted_at", head.SubmittedAt).Send()
 	d.work.Go(func() { d.announce(head) })
@@ -193,7 +193,8 @@
 		return nil, annotator.Wrap("decode batch submission", "peer", err)
 	}
 	if d.isOwned(request.Job.ID) {
-		return codec.SubmitReply{Accepted: d.mayResubmit(request.Job), IDTaken: !d.mayResubmit(request.Job)}, nil
+		allowed := d.mayResubmit(request.Job)
+		return codec.SubmitReply{Accepted: allowed, IDTaken: !allowed, CustomerChecked: true}, nil
 	}
 	if d.isDraining() {
 		return codec.SubmitReply{}, nil
@@ -204,6 +205,7 @@
 	}
 	return codec.SubmitReply{
 		Accepted: status == connector.BatchAccepted, Uncertain: status == connector.BatchOutcomeUnknown, IDTaken: status == connector.BatchIDTaken,
+		CustomerChecked: true,
 	}, nil
 }
 
--- a/service/placer/demand.go
+++ b/service/placer/demand.go
@@ -17,7 +17,10 @@
 )
 
 // Holds reports whether this host holds the lease and may send orders.
-func (d *Driver) Holds() bool { return d.holding.Load() }
+func (d *Driver) Holds() bool {
+	_, ok := d.holder.Fence()
+	return ok
+}
 
 // shareLog remembers what was logged of the division of a pool.
 type shareLog struct {
