--- a/service/batcher/demand_test.go
+++ b/service/batcher/demand_test.go
@@ -56,6 +56,8 @@
 // Guards against a wrong demand: what runs and waits, and the work that arrives in one second by the last submissions, which does
 // not fall while the trainer waits for a job.
 func TestDemandOfATrainer(t *testing.T) {
+	// Before a text is complete, a text of the mean expected length, 240 tokens, counts as 64 events.
+	const perToken = 64.0 / 240
 	x := newDemandHarness(t, 2)
 	x.stateSlowness()
 	x.submitStep("1", model, 600, 400, 200, 100, 100, 40)
@@ -63,25 +65,25 @@
 	require.Len(t, stated, 1)
 	require.Equal(t, 4, stated[0].RunningItems)
 	require.Equal(t, 2, stated[0].WaitingItems)
-	require.InDelta(t, 140, stated[0].WaitingEvents, 0.1)
-	require.InDelta(t, 1300, stated[0].RunningEvents, 0.1)
-	require.InDelta(t, 1440/7.5, stated[0].Arriving, 0.1, "a single job brings its events until it is due")
+	require.InDelta(t, 140*perToken, stated[0].WaitingEvents, 0.1)
+	require.InDelta(t, 1300*perToken, stated[0].RunningEvents, 0.1)
+	require.InDelta(t, 1440*perToken/7.5, stated[0].Arriving, 0.1, "a single job brings its events until it is due")
 	require.EqualValues(t, 7500*time.Millisecond, stated[0].DueIn)
 	for _, id := range []identifier.BatchID{"2", "3", "4", "5"} {
 		x.now = x.now.Add(4 * time.Second)
-		x.submitStep(id, model, 1440)
+		x.submitStep(id, model, 600, 400, 200, 100, 100, 40)
 		x.handle(batcher.JobEnded{Job: id})
 	}
 	stated = x.b.Demand(x.now.Add(20*time.Second), nil)
-	require.InDelta(t, 1440/4.0, stated[0].Arriving, 0.1, "job 1 is still open")
+	require.InDelta(t, 1440*perToken/4.0, stated[0].Arriving, 0.1, "job 1 is still open")
 	require.True(t, stated[0].Late)
 	require.Negative(t, stated[0].DueIn)
-	require.Greater(t, stated[0].Needed, 1440/7.5)
+	require.Greater(t, stated[0].Needed, 1440*perToken/7.5)
 	x.handle(batcher.JobEnded{Job: "1"})
 	x.now = x.now.Add(6 * time.Second)
 	stated = x.b.Demand(x.now, nil)
 	require.Len(t, stated, 1, "the trainer pauses between two steps")
-	require.InDelta(t, 4*1440/18.0, stated[0].Arriving, 0.1)
+	require.InDelta(t, 4*1440*perToken/18.0, stated[0].Arriving, 0.1)
 	require.False(t, stated[0].Late)
 	require.Empty(t, x.b.Demand(x.now.Add(10*time.Second), nil))
 }
