--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -150,7 +150,6 @@
 	}
 	j := newJob(event)
 	b.jobs[event.Job.ID] = j
-	b.completion.moveBudget = min(b.completion.moveBudget+movedShare*float64(len(j.items)), maxMoveBudget)
 	for _, it := range j.items {
 		if it.state != itemWaiting || len(it.events) > 0 {
 			continue
--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -1,7 +1,6 @@
 package batcher
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -16,41 +15,26 @@
 	queueAhead = 1
 	// readPerSecond is the number of prompt tokens that an engine reads in a second; measured are 300,000 to 700,000.
 	readPerSecond = 500_000
-	// splitShare is the share of the time that a group has to spare before it is due that it may lose for an engine that does not
-	// have to read its shared prompt; minSplitCost and maxSplitCost bound it, in seconds. TestGroupsOfSeveralOwnersAreInTime
-	// reads about half as many shared prompts again as without them, at the same completion.
-	splitShare   = 0.3
-	minSplitCost = 0.1
-	maxSplitCost = 1.5
-	// homeCost is the cost in seconds of an engine that has read the prompt of another group whose waiting items need its slots,
-	// for each such group, of which maxHomes count.
-	homeCost = 0.3
-	maxHomes = 3
+	// splitCost is the cost in seconds of an engine that has to read the shared prompt of the group. It is small, so that it
+	// decides only among engines on which the item is complete at about the same time.
+	splitCost = 0.05
 	// foreignTime is the cost in seconds of an engine that mainly serves another model, whose owner fills it without knowing of
 	// this host's runs.
 	foreignTime = 0.3
 	// fullTime is the cost in seconds of an engine whose slots are all in use, and proportionally less below that.
 	fullTime = 0.1
-	// holdRatio is how many times the expected wait for a slot elsewhere the loss by a slow engine must be for an item to wait.
-	holdRatio = 3
 	// maxGroupEngines bounds the remembered engines that have read the shared prompt of a group.
 	maxGroupEngines = 8
 	// defaultInterval is the event interval of engines before any event was observed.
 	defaultInterval = 35 * time.Millisecond
 )
 
-// splitWeights are the shares of splitCost for a further engine of a group that has none, one, two and more. A group of more
-// items than an engine has slots needs a second one.
-var splitWeights = [...]float64{0, 0.25, 1, 2}
-
 // completion is the state of the choice by expected completion time, which is used for pools whose engines state their speed.
 type completion struct {
 	profile *profiler.Profiler
 	lengths *lengths
 	// groupEngines holds the engines that have read the shared prompt of a group.
 	groupEngines map[groupKey][]identifier.UpstreamID
-	// moveBudget is the number of runs that may be moved.
-	moveBudget float64
 	// pass holds what does not change during a pass of schedule.
 	pass pass
 }
@@ -63,19 +47,15 @@
 	typical time.Duration
 	// finish is the expected seconds until all texts of a group are complete, if those that wait start now.
 	finish map[groupKey]float64
-	// homes counts the groups with waiting items, which are in waits, at the engines that have read their prompts.
-	homes map[identifier.UpstreamID]int
-	waits map[groupKey]struct{}
-	// waiting is the number of items without a run, over all open jobs.
-	waiting int
+	// jobFinish is the same for the last text of each job.
+	jobFinish map[identifier.BatchID]float64
 }
 
 func newCompletion() *completion {
 	return &completion{
-		moveBudget: firstMoveBudget, profile: profiler.New(profiler.Config{}), lengths: newLengths(), groupEngines: make(map[groupKey][]identifier.UpstreamID),
+		profile: profiler.New(profiler.Config{}), lengths: newLengths(), groupEngines: make(map[groupKey][]identifier.UpstreamID),
 		pass: pass{
-			pictures: make(map[identifier.UpstreamID]profiler.Picture), finish: make(map[groupKey]float64),
-			homes: make(map[identifier.UpstreamID]int), waits: make(map[groupKey]struct{}),
+			pictures: make(map[identifier.UpstreamID]profiler.Picture), finish: make(map[groupKey]float64), jobFinish: make(map[identifier.BatchID]float64),
 		},
 	}
 }
@@ -96,14 +76,12 @@
 func (c *completion) started(now time.Time, r *run) {
 	id := r.engine.host.ID
 	c.profile.Handle(now, profiler.Started{Upstream: id})
-	c.pass.waiting--
 	key := groupKey{r.job.job.ID, r.item.spec.Group}
 	if known := c.groupEngines[key]; r.item.spec.Group != "" && !slices.Contains(known, id) {
 		if len(known) == maxGroupEngines {
 			known = slices.Delete(known, 0, 1)
 		}
 		c.groupEngines[key] = append(known, id)
-		c.pass.homes[id]++
 	}
 }
 
@@ -127,10 +105,8 @@
 	p := &b.completion.pass
 	p.at = now
 	clear(p.pictures)
-	clear(p.homes)
-	clear(p.waits)
-	p.waiting = 0
 	clear(p.finish)
+	clear(p.jobFinish)
 	var intervals []time.Duration
 	for _, id := range b.engineIDs {
 		picture, ok := b.completion.profile.View(now, id)
@@ -162,21 +138,7 @@
 			}
 			key := groupKey{j.job.ID, it.spec.Group}
 			p.finish[key] = max(p.finish[key], end)
-			if it.run == nil {
-				p.waiting++
-				p.waits[key] = struct{}{}
-			}
-		}
-	}
-	b.countHomes()
-}
-
-// countHomes counts the groups with waiting items at the engines that have read their prompts.
-func (b *Batcher) countHomes() {
-	p := &b.completion.pass
-	for key := range p.waits {
-		for _, id := range b.completion.groupEngines[key] {
-			p.homes[id]++
+			p.jobFinish[j.job.ID] = max(p.jobFinish[j.job.ID], end)
 		}
 	}
 }
@@ -208,9 +170,9 @@
 	return wait + read/readPerSecond + picture.Expected(remaining).Seconds()
 }
 
-// chooseByCompletion returns the engine on which the item's group is expected to be complete first, or nil if none is free or
-// the item had better wait for another one. An item with
-// time to spare waits for an engine that has read the prompt of its group.
+// chooseByCompletion returns the engine with room on which an item is expected to be complete first, or nil if none has room. An item
+// that ends before the last text of its group wherever it runs goes to an engine that has read the prompt of the group, and leaves
+// the fast ones to the long texts.
 func (b *Batcher) chooseByCompletion(now time.Time, j *job, it *item) *engine {
 	c := b.completion
 	if !c.pass.at.Equal(now) {
@@ -218,55 +180,32 @@
 	}
 	remaining := b.remainingEvents(j, it)
 	key := groupKey{j.job.ID, it.spec.Group}
-	finish := c.pass.finish[key]
-	until := j.due().Sub(now).Seconds()
-	splitCost := min(max(splitShare*(until-finish), minSplitCost), maxSplitCost)
-	switch {
-	case it.spec.Group == "":
-		finish = 0
-	case until > 0:
-		finish = min(finish, until)
+	enough := c.pass.finish[key]
+	if it.spec.Group == "" || remaining*c.pass.typical.Seconds() >= tailShare*c.pass.jobFinish[j.job.ID] {
+		enough = 0
 	}
-	known := c.groupEngines[key]
 	var best *engine
-	var bestCost, bestTime float64
-	bestHasRoom, anyRoom := false, false
-	// occupied is the expected time on the fastest engine without room.
-	occupied := math.Inf(1)
+	var bestCost float64
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		if _, without := b.withoutTurn[id]; without || !it.fits(e) || !e.serves(now, j) {
-			continue
-		}
-		room := b.hasRoom(e)
-		if !room {
-			occupied = min(occupied, remaining*c.pass.pictures[id].LongRun.Seconds())
-		}
-		if !room && !slices.Contains(known, id) {
+		if _, without := b.withoutTurn[id]; without || !it.fits(e) || !e.serves(now, j) || !b.hasRoom(e) {
 			continue
 		}
-		anyRoom = anyRoom || room
-		expected := b.expectedTime(j, it, e, remaining)
 		picture := c.pass.pictures[id]
-		cost := max(expected, finish) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
-		if !slices.Contains(known, id) {
-			cost += splitCost * splitWeights[min(len(known), len(splitWeights)-1)]
-			cost += homeCost * float64(min(c.pass.homes[id], maxHomes))
+		cost := max(b.expectedTime(j, it, e, remaining), enough) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
+		if !slices.Contains(c.groupEngines[key], id) {
+			cost += splitCost
+		}
+		if it.movedFrom == id {
+			cost += returnCost
 		}
 		if e.model != "" && e.model != j.job.Model {
 			cost += foreignTime
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost, bestTime, bestHasRoom = e, cost, expected, room
+			best, bestCost = e, cost
 		}
 	}
-	if !anyRoom {
-		return nil
-	}
-	if !bestHasRoom || b.waitPays(j, bestTime-max(occupied, remaining*c.pass.typical.Seconds())) {
-		j.held = true
-		return nil
-	}
 	return best
 }
 
@@ -275,12 +214,3 @@
 	picture := b.completion.pass.pictures[e.host.ID]
 	return e.inFlight < picture.Slots && b.expectedLoad(e, picture)+1 <= float64(picture.Slots+queueAhead)
 }
-
-// waitPays reports whether an item that loses so many seconds by the engine at hand had better wait for a slot elsewhere.
-func (b *Batcher) waitPays(j *job, loss float64) bool {
-	if loss <= 0 || len(b.runs) == 0 {
-		return false
-	}
-	mean := b.completion.lengths.mean(j.job.Model) * b.completion.pass.typical.Seconds()
-	return loss > holdRatio*mean*float64(1+b.completion.pass.waiting)/float64(len(b.runs))
-}
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -95,8 +95,6 @@
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
 	ended      bool
-	// held is set if the item whose engine was chosen last had better wait for another engine.
-	held bool
 	// results holds the results in the store; pending holds the final results that are not stored yet, of which the
 	// first inAppend are being written.
 	results   []codec.BatchResult
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -77,9 +77,6 @@
 			continue
 		}
 		e := b.chooseWithTurn(now, j, it)
-		if e == nil && j.held {
-			continue
-		}
 		if e == nil && len(it.events) > 0 {
 			if !b.restartPays(now, j, it) {
 				continue
@@ -136,7 +133,6 @@
 // chooseEngine returns the free engine with the lowest cost: its slowness plus a small cost for its load and one if it mainly
 // serves another model, less a small bonus if it has processed the group's prompt. It returns nil if no free engine may run items of the job.
 func (b *Batcher) chooseEngine(now time.Time, j *job, it *item) *engine {
-	j.held = false
 	if b.usesCompletion(now, j) {
 		return b.chooseByCompletion(now, j, it)
 	}
