--- a/service/batcher/moves.go
+++ b/service/batcher/moves.go
@@ -13,10 +13,7 @@
 	minSaving     = 0.3
 	// tailShare is the share of the time to the end of the job's last text from which on a text may delay the job. Others end
 	// before it wherever they run, so they stay.
-	tailShare = 0.5
-	// maxEngineQueue bounds the time for which a run may be expected to wait at its engine: a longer wait looks like an engine that
-	// hangs, and other engines are free before that.
-	maxEngineQueue = time.Second
+	tailShare = 0.25
 )
 
 // moveByCompletion stops the runs whose move to another engine is expected to bring the completion of their groups forward by
@@ -51,7 +48,7 @@
 // counts, and not that of its engine, which is an average over short runs, too.
 func (b *Batcher) savingByMove(now time.Time, r *run) float64 {
 	own := r.interval()
-	remaining := b.remainingEvents(r.job, r.item)
+	remaining := max(b.remainingEvents(r.job, r.item), minRemainingEvents)
 	stay := remaining * own.Seconds()
 	if stay <= minSaving || stay < tailShare*b.completion.pass.jobFinish[r.job.job.ID] {
 		return 0
@@ -70,20 +67,3 @@
 	}
 	return 0
 }
-
-// queueTime returns how long a run may wait in the queue of its engine before its first event, beyond the usual time.
-func (b *Batcher) queueTime(now time.Time, r *run) time.Duration {
-	picture, ok := b.completion.profile.View(now, r.engine.host.ID)
-	if !ok || !b.completion.profile.States(now, r.engine.host.Pool) {
-		return 0
-	}
-	excess := b.expectedLoad(r.engine, picture) - float64(picture.Slots)
-	if picture.Stated && picture.Waiting > 0 {
-		excess = max(excess, float64(picture.Waiting))
-	}
-	if excess <= 0 {
-		return 0
-	}
-	mean := b.completion.lengths.mean(r.job.job.Model) * picture.Expected(1).Seconds()
-	return min(time.Duration(2*(1+excess/float64(picture.Slots))*mean*float64(time.Second)), maxEngineQueue)
-}
--- a/service/batcher/straggler.go
+++ b/service/batcher/straggler.go
@@ -37,7 +37,7 @@
 	for _, r := range b.runs {
 		limit := stall
 		if !r.receivedEvent {
-			limit = max(firstEventTimeout, stall) + b.queueTime(now, r)
+			limit = max(firstEventTimeout, stall)
 		}
 		if r.stopped == "" && now.Sub(r.lastEventAt) > limit {
 			r.engine.pause(now, failedPause)
