--- a/service/profiler/profiler.go
+++ b/service/profiler/profiler.go
@@ -50,6 +50,15 @@
 	members  int
 }
 
+// expectedOthers returns the expected load of others per slot. It falls with the time since the last statement of the pool: a host
+// without attempts gets no statements, and must not take a load that it heard of once for lasting.
+func (p *poolRecord) expectedOthers(now time.Time) float64 {
+	if p.others.at.IsZero() {
+		return 0
+	}
+	return p.others.mean * math.Exp2(-float64(now.Sub(p.others.at))/float64(othersHalfLife))
+}
+
 // New returns a profiler without upstreams.
 func New(Config) *Profiler {
 	return &Profiler{upstreams: make(map[identifier.UpstreamID]*record), pools: make(map[identifier.PoolName]*poolRecord)}
@@ -225,7 +234,7 @@
 	}
 	pool := p.pools[r.pool]
 	v := Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
-	v.Others = pool.others.mean * float64(v.Slots)
+	v.Others = pool.expectedOthers(now) * float64(v.Slots)
 	if !r.statedAt.IsZero() {
 		v.StatedAge = now.Sub(r.statedAt)
 		if v.Stated = v.StatedAge <= maxStatementAge; v.Stated {
