estimator: the cost of a request before it runs

Cause: requests that look alike cost very different amounts of work, and nothing estimated it. The batcher's lengths of texts use the same histogram. profiler: references to upstreams, silent upstreams, and work whose amount is an estimate.

--- a/service/batcher/lengths.go
+++ b/service/batcher/lengths.go
@@ -1,83 +1,24 @@
 package batcher
 
 import (
-	"math"
-
 	"celerygap.example/lib/identifier"
+	"celerygap.example/service/estimator"
 )
 
 const (
-	// lengthBuckets covers lengths from 1 to 65536 events, and ratios to the expected length from 1/256 to 256, in steps of a
-	// fourth root of two.
-	lengthBuckets = 64
-	bucketsPerTwo = 4
-	ratioOffset   = lengthBuckets / 2
 	// maxModels bounds the models of which lengths are learned; further ones have the prior.
 	maxModels = 256
-	// priorWeight is how many texts the prior counts for, and lengthMemory after how many texts an old one counts half.
-	priorWeight  = 16
+	// lengthPrior is how many texts the prior counts for, and lengthMemory after how many texts an old one counts half.
+	lengthPrior  = 16
 	lengthMemory = 512
-	// priorSpread and priorLength describe the lengths before any text is complete, as logarithms to base 2: texts of about 64
-	// events, most between 32 and 128, and as far off where the length is expected.
-	priorSpread = 0.9
-	priorLength = 6
+	// usualLength and lengthSpread describe the lengths before any text is complete: texts of about 64 events, most between half
+	// and twice as many, and as far off where the length is expected.
+	usualLength  = 64
+	lengthSpread = 0.9
+	// lowestRatio is the smallest ratio of a length to the expected one that is told apart.
+	lowestRatio = 1.0 / 256
 )
 
-// histogram counts texts by bucket, with weights that grow so that older texts count less.
-type histogram struct {
-	weights [lengthBuckets]float64
-	newest  float64
-}
-
-func newHistogram(center float64) *histogram {
-	h := &histogram{newest: 1}
-	var sum float64
-	for i := range h.weights {
-		deviation := (float64(i) - center) / bucketsPerTwo / priorSpread
-		h.weights[i] = math.Exp(-deviation * deviation / 2)
-		sum += h.weights[i]
-	}
-	for i := range h.weights {
-		h.weights[i] *= priorWeight / sum
-	}
-	return h
-}
-
-func (h *histogram) add(bucket int) {
-	h.newest *= 1 + math.Ln2/lengthMemory
-	h.weights[min(max(bucket, 0), lengthBuckets-1)] += h.newest
-	if h.newest > 1e9 {
-		for i := range h.weights {
-			h.weights[i] /= h.newest
-		}
-		h.newest = 1
-	}
-}
-
-// remaining returns the expected number of events of a text beyond those that it has; scale is the length of bucket 0.
-func (h *histogram) remaining(scale, events float64) float64 {
-	var weight, sum float64
-	for i, w := range h.weights {
-		if length := scale * bucketSize[i]; length > events {
-			weight += w
-			sum += w * (length - events)
-		}
-	}
-	if weight < 1e-6 {
-		// The text is longer than all others: as with heavy tails, it goes on for a share of its length.
-		return max(events/4, 1)
-	}
-	return max(sum/weight, 1)
-}
-
-// bucketSize holds the size at the centre of each bucket, in relation to bucket 0.
-var bucketSize = func() (sizes [lengthBuckets]float64) {
-	for i := range sizes {
-		sizes[i] = math.Exp2(float64(i) / bucketsPerTwo)
-	}
-	return sizes
-}()
-
 // lengths is the learned distribution of the lengths of texts by model: in relation to the expected length where the item names
 // one, and in events where it does not.
 type lengths struct {
@@ -85,10 +26,16 @@
 	prior  *modelLengths
 }
 
-type modelLengths struct{ ratios, events *histogram }
+type modelLengths struct{ ratios, events *estimator.Histogram }
 
 func newModelLengths() *modelLengths {
-	return &modelLengths{ratios: newHistogram(ratioOffset), events: newHistogram(priorLength * bucketsPerTwo)}
+	return &modelLengths{ratios: newLengthHistogram(lowestRatio, 1), events: newLengthHistogram(1, usualLength)}
+}
+
+func newLengthHistogram(lowest, median float64) *estimator.Histogram {
+	return estimator.NewHistogram(estimator.HistogramConfig{
+		Lowest: lowest, PriorMedian: median, PriorSpread: lengthSpread, PriorWeight: lengthPrior, Memory: lengthMemory,
+	})
 }
 
 func newLengths() *lengths {
@@ -105,24 +52,27 @@
 		known = newModelLengths()
 		l.models[model] = known
 	}
-	length := math.Log2(float64(max(events, 1)))
-	known.events.add(int(math.Round(bucketsPerTwo * length)))
+	known.events.Add(float64(events))
 	if expected > 0 {
-		known.ratios.add(ratioOffset + int(math.Round(bucketsPerTwo*(length-math.Log2(float64(expected))))))
+		known.ratios.Add(float64(events) / float64(expected))
 	}
 }
 
 // remaining returns the expected number of events that a text of a model still gets.
 func (l *lengths) remaining(model identifier.ModelName, expected identifier.Tokens, events int) float64 {
-	known, ok := l.models[model]
-	if !ok {
-		known = l.prior
-	}
+	known := l.of(model)
 	if expected > 0 {
-		return known.ratios.remaining(float64(expected)/bucketSize[ratioOffset], float64(events))
+		return max(known.ratios.Remaining(float64(expected), float64(events)), 1)
 	}
-	return known.events.remaining(1, float64(events))
+	return max(known.events.Remaining(1, float64(events)), 1)
 }
 
-// mean returns the expected length of a text of a model without an expected length.
-func (l *lengths) mean(model identifier.ModelName) float64 { return l.remaining(model, 0, 0) }
+// mean returns the expected length of a text of a model.
+func (l *lengths) mean(model identifier.ModelName) float64 { return l.of(model).events.Mean() }
+
+func (l *lengths) of(model identifier.ModelName) *modelLengths {
+	if known, ok := l.models[model]; ok {
+		return known
+	}
+	return l.prior
+}
--- a/service/profiler/profiler.go
+++ b/service/profiler/profiler.go
@@ -90,6 +90,9 @@
 	Upstream identifier.UpstreamID
 	Amount   float64
 	Took     time.Duration
+	// Rough is set if the amount is an estimate, as for a call. Such work tells the long-run speed only, because the deviation
+	// of a single estimate is larger than that of the speed.
+	Rough bool
 }
 
 func (Listed) isEvent()  {}
@@ -120,7 +123,7 @@
 		}
 	case Worked:
 		if r, ok := p.upstreams[e.Upstream]; ok {
-			r.worked(now, e.Amount, e.Took)
+			r.worked(now, e)
 			p.pools[r.pool].work.add(now, e.Amount, e.Took, longRunTime)
 		}
 	}
@@ -213,17 +216,39 @@
 	SlowFor time.Duration
 	// LongRunError and PresentError are the expected relative errors.
 	LongRunError, PresentError float64
+	// SilentFor is how long own attempts have run without any response, event or statement.
+	SilentFor time.Duration
 	// FalseStatements is set if the statements of the upstream contradict what the host observes; they are ignored then.
 	FalseStatements bool
 }
 
 // View returns the picture of an upstream; ok is false if it is not listed.
 func (p *Profiler) View(now time.Time, id identifier.UpstreamID) (picture Picture, ok bool) {
-	r, ok := p.upstreams[id]
+	ref, ok := p.Lookup(id)
 	if !ok {
 		return Picture{}, false
 	}
-	pool := p.pools[r.pool]
+	return ref.View(now), true
+}
+
+// Ref gives the pictures of one upstream without a search for it. It is valid until the upstream is removed.
+type Ref struct {
+	record *record
+	pool   *poolRecord
+}
+
+// Lookup returns the Ref of an upstream; ok is false if it is not listed.
+func (p *Profiler) Lookup(id identifier.UpstreamID) (ref Ref, ok bool) {
+	r, ok := p.upstreams[id]
+	if !ok {
+		return Ref{}, false
+	}
+	return Ref{r, p.pools[r.pool]}, true
+}
+
+// View returns the picture of the upstream.
+func (f Ref) View(now time.Time) Picture {
+	r, pool := f.record, f.pool
 	v := Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
 	v.Others = pool.others.mean * float64(v.Slots)
 	if !r.statedAt.IsZero() {
@@ -232,8 +257,18 @@
 			v.Others += (float64(r.others) - v.Others) * math.Exp2(-float64(v.StatedAge)/float64(othersHalfLife))
 		}
 	}
+	if r.recent > 0 {
+		v.SilentFor = now.Sub(latest(r.starts[0], latest(r.statedAt, r.longRun.at)))
+	}
 	r.speeds(now, pool, &v)
-	return v, true
+	return v
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Expected returns the time that an amount of work takes on the upstream once it runs: at its present speed for as long as this
--- a/service/profiler/record.go
+++ b/service/profiler/record.go
@@ -141,15 +141,19 @@
 	return max(0, r.own-later)
 }
 
-func (r *record) worked(now time.Time, amount float64, took time.Duration) {
-	if amount <= 0 || took < 0 {
+func (r *record) worked(now time.Time, e Worked) {
+	if e.Amount <= 0 || e.Took < 0 {
 		return
 	}
+	took := e.Took
 	if usual := r.longRun.perWork(); usual > 0 {
-		took = min(took, time.Duration(maxWorkRatio*usual*amount*float64(time.Second)))
+		took = min(took, time.Duration(maxWorkRatio*usual*e.Amount*float64(time.Second)))
 	}
-	r.longRun.add(now, amount, took, longRunTime)
-	r.present.add(now, amount, took, presentTime)
+	r.longRun.add(now, e.Amount, took, longRunTime)
+	if e.Rough {
+		return
+	}
+	r.present.add(now, e.Amount, took, presentTime)
 	switch ratio := r.observedRatio(); {
 	case ratio < slowRatio:
 		r.slowSince = time.Time{}
@@ -199,17 +203,13 @@
 		// The mean of few statements is mostly the noise of the moment, so its root counts.
 		prior *= math.Sqrt(r.statements.mean / pool.statements.mean)
 	}
-	known := r.longRun.seconds / (r.longRun.seconds + priorTime.Seconds())
-	usual := prior
-	if observed := r.longRun.perWork(); observed > 0 {
-		usual = prior * math.Exp(known*math.Log(max(observed, 1e-9)/prior))
-	}
-	v.LongRunError = speedSpread * math.Sqrt(1-known)
+	// The prior counts as work of priorTime at the prior speed.
+	usual := (r.longRun.seconds + priorTime.Seconds()) / (r.longRun.amount + priorTime.Seconds()/prior)
+	v.LongRunError = speedSpread * math.Sqrt(priorTime.Seconds()/(r.longRun.seconds+priorTime.Seconds()))
 	ratio := 1.0
 	v.PresentError = speedSpread
 	v.Persists = minPersistence
 	switch {
-	case r.present.at.IsZero() && r.slownessAt.IsZero():
 	case !r.present.at.IsZero() && now.Sub(r.present.at) <= presentMaxAge:
 		ratio = r.observedRatio()
 		v.PresentError = speedSpread * float64(now.Sub(r.present.at)) / float64(presentMaxAge)
