router: the policy by cost

Cause: a request went to an upstream by the count of requests there, whatever these and it cost and how fast the machine is. Change: for pools whose upstreams state their speed, the upstream with the shortest expected time to the response is chosen: work at the learned speed, the wait at the stated load, the way and a new connection. Without knowledge, with false statements or with upstreams that do not respond the former policy chooses, and the result says so. Other pools are routed as before. Tests: go test ./service/router ./service/dispatcher ./service/batcher.

--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -158,7 +158,8 @@
 			remaining := b.remainingEvents(j, it)
 			end := remaining * p.typical.Seconds()
 			if it.run != nil {
-				end = p.pictures[it.run.engine.host.ID].Expected(remaining).Seconds()
+				picture := p.pictures[it.run.engine.host.ID]
+				end = picture.Expected(remaining).Seconds()
 			}
 			key := groupKey{j.job.ID, it.spec.Group}
 			p.finish[key] = max(p.finish[key], end)
--- a/service/profiler/profiler.go
+++ b/service/profiler/profiler.go
@@ -44,6 +44,8 @@
 	work rate
 	// statements is the mean of the stated slowness.
 	statements average
+	// rough is set if the amounts of work are estimates.
+	rough bool
 	// others is the mean of the load of others per slot, over statements.
 	others   average
 	statedAt time.Time
@@ -124,7 +126,9 @@
 	case Worked:
 		if r, ok := p.upstreams[e.Upstream]; ok {
 			r.worked(now, e)
-			p.pools[r.pool].work.add(now, e.Amount, e.Took, longRunTime)
+			pool := p.pools[r.pool]
+			pool.work.add(now, e.Amount, e.Took, longRunTime)
+			pool.rough = e.Rough
 		}
 	}
 }
@@ -174,6 +178,7 @@
 	}
 	r.others = max(0, load.Running+load.Queued-r.ownAt(now.Add(-travelTime)))
 	pool.others.add(now, float64(r.others)/float64(r.slots()), othersMeanTime)
+	r.slowness = 0
 	if load.Slowness < minSlowness || load.Slowness > maxSlowness {
 		return
 	}
@@ -212,6 +217,8 @@
 	// LongRun is the lasting time per unit of work, Present the one at this moment, which is expected to hold for Persists.
 	LongRun, Present time.Duration
 	Persists         time.Duration
+	// Typical is the long-run time per unit of work in the pool.
+	Typical time.Duration
 	// SlowFor is how long the upstream has been observed to be much slower than its long-run speed.
 	SlowFor time.Duration
 	// LongRunError and PresentError are the expected relative errors.
@@ -246,22 +253,51 @@
 	return Ref{r, p.pools[r.pool]}, true
 }
 
-// View returns the picture of the upstream.
-func (f Ref) View(now time.Time) Picture {
+// View returns the picture of the upstream; it is empty for a Ref that Lookup did not find.
+func (f Ref) View(now time.Time) (v Picture) {
+	f.ViewInto(now, &v)
+	return v
+}
+
+// ViewInto sets a picture as View does, without a copy; a choice among many upstreams reuses one.
+func (f Ref) ViewInto(now time.Time, v *Picture) {
 	r, pool := f.record, f.pool
-	v := Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
+	if r == nil {
+		*v = Picture{}
+		return
+	}
+	*v = Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
 	v.Others = pool.others.mean * float64(v.Slots)
 	if !r.statedAt.IsZero() {
 		v.StatedAge = now.Sub(r.statedAt)
 		if v.Stated = v.StatedAge <= maxStatementAge; v.Stated {
-			v.Others += (float64(r.others) - v.Others) * math.Exp2(-float64(v.StatedAge)/float64(othersHalfLife))
+			v.Others += (float64(r.others) - v.Others) * decay(float64(v.StatedAge)/float64(othersHalfLife))
 		}
 	}
 	if r.recent > 0 {
 		v.SilentFor = now.Sub(latest(r.starts[0], latest(r.statedAt, r.longRun.at)))
 	}
-	r.speeds(now, pool, &v)
-	return v
+	r.speeds(now, pool, v)
+}
+
+// decayStep is the distance of the entries of decays.
+const decayStep = 1.0 / 16
+
+// decays holds the powers of two from 0 to -8. A choice looks at up to 64 upstreams, and the powers would take most of its time.
+var decays = func() (decays [129]float64) {
+	for i := range decays {
+		decays[i] = math.Exp2(-float64(i) * decayStep)
+	}
+	return decays
+}()
+
+// decay returns about 2 to the power of -x, and zero for a large x.
+func decay(x float64) float64 {
+	i := int(max(x, 0) / decayStep)
+	if i >= len(decays) {
+		return 0
+	}
+	return decays[i]
 }
 
 func latest(a, b time.Time) time.Time {
@@ -271,15 +307,23 @@
 	return b
 }
 
+// Relative returns the present time per unit of work in relation to the typical one of the pool, or 1 if nothing was observed.
+func (v *Picture) Relative() float64 {
+	if v.Typical <= 0 || v.Present <= 0 {
+		return 1
+	}
+	return float64(v.Present) / float64(v.Typical)
+}
+
 // Expected returns the time that an amount of work takes on the upstream once it runs: at its present speed for as long as this
 // is expected to hold, at its long-run speed after that.
-func (v Picture) Expected(amount float64) time.Duration {
+func (v *Picture) Expected(amount float64) time.Duration {
 	if v.Present <= 0 || v.LongRun <= 0 {
 		return time.Duration(amount * float64(v.LongRun))
 	}
-	first := float64(v.Persists) / float64(v.Present)
-	if amount <= first {
-		return time.Duration(amount * float64(v.Present))
+	present := amount * float64(v.Present)
+	if present <= float64(v.Persists) {
+		return time.Duration(present)
 	}
-	return v.Persists + time.Duration((amount-first)*float64(v.LongRun))
+	return v.Persists + time.Duration((amount-float64(v.Persists)/float64(v.Present))*float64(v.LongRun))
 }
--- a/service/profiler/profiler_test.go
+++ b/service/profiler/profiler_test.go
@@ -29,10 +29,10 @@
 	return x
 }
 
-func (x *harness) view(id identifier.UpstreamID) profiler.Picture {
+func (x *harness) view(id identifier.UpstreamID) *profiler.Picture {
 	v, ok := x.p.View(x.now, id)
 	require.True(x.t, ok)
-	return v
+	return &v
 }
 
 // work lets an upstream work for a time at the same interval.
--- a/service/profiler/record.go
+++ b/service/profiler/record.go
@@ -17,8 +17,12 @@
 	presentMaxAge = 600 * time.Millisecond
 	// priorTime is how much observed work the typical speed of the pool counts for in the estimate of one upstream.
 	priorTime = 2 * time.Second
+	// roughPriorTime is the same for work whose amount is an estimate: ten calls of a usual plain service.
+	roughPriorTime = 250 * time.Millisecond
 	// maxWorkRatio caps a single observation at this multiple of the expected time: a change of weights is not a speed.
 	maxWorkRatio = 6
+	// usualMaxAge is how long an estimate of the long-run speed is used, because it takes longer than the rest of a picture.
+	usualMaxAge = 50 * time.Millisecond
 	// slowRatio is the ratio of the present to the long-run time per work above which an upstream counts as slow.
 	slowRatio = 1.6
 	// othersMeanTime is the time over which the mean load of the pool is averaged.
@@ -85,19 +89,21 @@
 	running, waiting, others int
 	statedAt                 time.Time
 	own                      int
-	// starts holds the start times of the newest own attempts in progress, oldest first.
-	starts [maxStarts]time.Time
-	recent int
+	recent                   int
 
 	longRun, present rate
-	slowSince        time.Time
-	// slowness is the last statement, at slownessAt, and statements the mean of all.
+	// usual is the estimate of the long-run speed, which is renewed when it is used after usualMaxAge.
+	usual     usualSpeed
+	slowSince time.Time
+	// slowness is the last statement of the speed, zero if the last statement had none, and statements the mean of all.
 	slowness   float64
-	slownessAt time.Time
 	statements average
 	// deviation is the mean deviation of statements from observations, as a logarithm.
 	deviation  float64
 	deviations int
+	// starts holds the start times of the newest own attempts in progress, oldest first. It is last, so that the fields of a
+	// picture are close together in memory.
+	starts [maxStarts]time.Time
 }
 
 func (r *record) slots() int {
@@ -130,6 +136,11 @@
 			return
 		}
 	}
+	if r.recent > r.own {
+		// The start is not known, so the oldest one goes.
+		copy(r.starts[:], r.starts[1:r.recent])
+		r.recent--
+	}
 }
 
 // ownAt returns the number of the attempts in progress that were started by then.
@@ -173,7 +184,7 @@
 
 func (r *record) stateSlowness(now time.Time, slowness float64) {
 	r.statements.add(now, slowness, longRunTime)
-	r.slowness, r.slownessAt = slowness, now
+	r.slowness = slowness
 	if now.Sub(r.present.at) > presentMaxAge || r.longRun.seconds < priorTime.Seconds() {
 		return
 	}
@@ -190,41 +201,74 @@
 	return r.deviations >= minDeviations && r.deviation > falseStatements
 }
 
-// speeds sets the speeds of a picture. Observed work of the last moments tells the present speed, else a statement that is not
-// older and not contradicted; without both the long-run speed holds. The estimate of the long-run speed begins with that of
-// the pool.
-func (r *record) speeds(now time.Time, pool *poolRecord, v *Picture) {
+// usualSpeed is the estimate of the long-run speed at a time: the seconds per work, those that are typical of the pool, and the
+// relative error.
+type usualSpeed struct {
+	perWork, typical, err float64
+	at                    time.Time
+}
+
+// setUsual estimates the long-run speed. The estimate begins with that of the pool, which counts as work of priorTime.
+func (r *record) setUsual(now time.Time, pool *poolRecord, contradicted bool) {
 	typical := pool.work.perWork()
+	r.usual = usualSpeed{typical: typical, at: now}
 	if typical <= 0 {
 		return
 	}
 	prior := typical
-	if r.statements.weight > 0 && !v.FalseStatements && pool.statements.mean > 0 {
+	if r.statements.weight > 0 && !contradicted && pool.statements.mean > 0 {
 		// The mean of few statements is mostly the noise of the moment, so its root counts.
 		prior *= math.Sqrt(r.statements.mean / pool.statements.mean)
 	}
-	// The prior counts as work of priorTime at the prior speed.
-	usual := (r.longRun.seconds + priorTime.Seconds()) / (r.longRun.amount + priorTime.Seconds()/prior)
-	v.LongRunError = speedSpread * math.Sqrt(priorTime.Seconds()/(r.longRun.seconds+priorTime.Seconds()))
+	priorSeconds := priorTime.Seconds()
+	if pool.rough {
+		priorSeconds = roughPriorTime.Seconds()
+	}
+	r.usual.perWork = (r.longRun.seconds + priorSeconds) / (r.longRun.amount + priorSeconds/prior)
+	r.usual.err = speedSpread * math.Sqrt(priorSeconds/(r.longRun.seconds+priorSeconds))
+}
+
+// speeds sets the speeds of a picture. Observed work of the last moments tells the present speed, else a statement that is not
+// older and not contradicted; without both the long-run speed holds.
+func (r *record) speeds(now time.Time, pool *poolRecord, v *Picture) {
+	if r.usual.at.IsZero() || now.Sub(r.usual.at) > usualMaxAge {
+		r.setUsual(now, pool, v.FalseStatements)
+	}
+	if r.usual.typical <= 0 {
+		return
+	}
+	usual := r.usual.perWork
+	v.LongRunError = r.usual.err
 	ratio := 1.0
 	v.PresentError = speedSpread
 	v.Persists = minPersistence
+	presentAge := presentMaxAge + 1
+	if r.present.amount > 0 {
+		presentAge = now.Sub(r.present.at)
+	}
+	statementAge := presentMaxAge + 1
+	if r.slowness > 0 && !v.FalseStatements {
+		// A statement of the speed comes with one of the load.
+		statementAge = v.StatedAge
+	}
+	slow := !r.slowSince.IsZero()
 	switch {
-	case !r.present.at.IsZero() && now.Sub(r.present.at) <= presentMaxAge:
+	case presentAge <= presentMaxAge:
 		ratio = r.observedRatio()
-		v.PresentError = speedSpread * float64(now.Sub(r.present.at)) / float64(presentMaxAge)
-	case !r.slowSince.IsZero() && now.Sub(r.present.at) <= now.Sub(r.slowSince)/2+presentMaxAge:
+		v.PresentError = speedSpread * float64(presentAge) / float64(presentMaxAge)
+	case slow && presentAge <= now.Sub(r.slowSince)/2+presentMaxAge:
 		// An upstream that was slow for long is expected to remain so although nothing runs there now.
 		ratio = r.observedRatio()
-	case !r.slownessAt.IsZero() && now.Sub(r.slownessAt) <= presentMaxAge && !v.FalseStatements:
+	case statementAge <= presentMaxAge:
 		ratio = r.statedRatio()
-		v.PresentError = speedSpread * float64(now.Sub(r.slownessAt)) / float64(presentMaxAge)
+		v.PresentError = speedSpread * float64(statementAge) / float64(presentMaxAge)
 	}
-	if !r.slowSince.IsZero() && ratio >= slowRatio {
+	if slow && ratio >= slowRatio {
 		v.SlowFor = now.Sub(r.slowSince)
 		// A slow phase of unknown length is expected to last once more as long as it has lasted.
 		v.Persists = min(max(v.SlowFor, minPersistence), maxPersistence)
 	}
+	v.Typical = time.Duration(r.usual.typical * float64(time.Second))
 	v.LongRun = time.Duration(usual * float64(time.Second))
 	v.Present = time.Duration(usual * ratio * float64(time.Second))
 }
--- a/service/router/events.go
+++ b/service/router/events.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
@@ -46,6 +48,17 @@
 	// IsolationKey ranks the upstreams for an isolated attempt that have equally few attempts. Hosts that isolate different
 	// requests at the same time then choose different upstreams; otherwise a request that crashes one would take another with it.
 	IsolationKey string
+	// Work is the expected work of the attempt, in the unit of Worked, and Bytes the size of its body; zero means unknown.
+	Work  float64
+	Bytes identifier.Bytes
+}
+
+// Worked delivers the time that an upstream took for an amount of work; Rough is set if the amount is an estimate.
+type Worked struct {
+	Upstream identifier.UpstreamID
+	Work     float64
+	Took     time.Duration
+	Rough    bool
 }
 
 // AttemptRefused means that an upstream refused an attempt because it was full.
@@ -55,10 +68,20 @@
 type UpstreamFailed struct{ Upstream identifier.UpstreamID }
 
 // AttemptStarted adds an attempt to the in-flight count of an upstream.
-type AttemptStarted struct{ Upstream identifier.UpstreamID }
+type AttemptStarted struct {
+	Upstream identifier.UpstreamID
+	// Work is the expected work of the attempt; zero means unknown.
+	Work float64
+}
 
 // AttemptEnded subtracts an attempt from the in-flight count of an upstream.
-type AttemptEnded struct{ Upstream identifier.UpstreamID }
+type AttemptEnded struct {
+	Upstream identifier.UpstreamID
+	// StartedAt is when AttemptStarted was handled; zero if that is not known.
+	StartedAt time.Time
+	// Work is that of AttemptStarted.
+	Work float64
+}
 
 // Reserved excludes an upstream from routing until Released.
 type Reserved struct{ Upstream identifier.UpstreamID }
@@ -70,6 +93,7 @@
 func (LoadReported) isEvent()    {}
 func (VersionReported) isEvent() {}
 func (Route) isEvent()           {}
+func (Worked) isEvent()          {}
 func (AttemptRefused) isEvent()  {}
 func (UpstreamFailed) isEvent()  {}
 func (AttemptStarted) isEvent()  {}
@@ -81,7 +105,13 @@
 type Command interface{ isCommand() }
 
 // Chosen is returned for Route with the upstream on which the attempt runs.
-type Chosen struct{ Upstream connector.Upstream }
+type Chosen struct {
+	Upstream connector.Upstream
+	// ByCost is set if the upstream was chosen by its expected time to the response, and Fallback if it should have been.
+	ByCost   bool
+	Expected time.Duration
+	Fallback Fallback
+}
 
 // Outdated is returned for Route when every upstream that could run the attempt is known to serve weights older than
 // MinVersion.
--- a/service/router/node.go
+++ b/service/router/node.go
@@ -11,6 +11,7 @@
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/profiler"
 )
 
 // maxHistory bounds the stored changes of an in-flight count.
@@ -48,6 +49,18 @@
 	fullUntil    time.Time
 	avoidedUntil time.Time
 	serving      map[identifier.ModelName]identifier.WeightVersion
+	// profile is the picture of the upstream. preference, from 0 to 1, is its place in this host's own order of the upstreams.
+	profile    profiler.Ref
+	preference float64
+	distance   distance
+	// opened is the number of connections that are open, as far as the host knows, and usedAt when the last one was used.
+	opened int
+	usedAt time.Time
+	// ownWork is the expected work of the own attempts.
+	ownWork float64
+	// waits holds the expected waits at waitSlots slots.
+	waits     *[waitSteps]float64
+	waitSlots float64
 }
 
 func newNode(upstream connector.Upstream) *node {
@@ -56,6 +69,7 @@
 
 func (n *node) addInFlight(now time.Time, change int) {
 	n.inFlight += change
+	n.countConnections(now)
 	if len(n.history) == maxHistory {
 		n.history = slices.Delete(n.history, 0, maxHistory/2)
 	}
--- a/service/router/policy.go
+++ b/service/router/policy.go
@@ -20,6 +20,8 @@
 	// PolicyTwoChoices uses the less loaded of two random upstreams, of the host's region unless all of those are full; it
 	// is a baseline for measurements.
 	PolicyTwoChoices PolicyName = "two_choices"
+	// PolicyLeastInFlight uses the upstream with the fewest attempts of this host; it is a baseline for measurements.
+	PolicyLeastInFlight PolicyName = "least_in_flight"
 )
 
 // policy chooses one of the candidates of a view, which contains at least one.
@@ -46,6 +48,8 @@
 		return &roundRobin{}
 	case PolicyTwoChoices:
 		return &twoChoices{random: config.Random}
+	case PolicyLeastInFlight:
+		return &leastInFlightPolicy{}
 	default:
 		return &boundedPrefix{factor: config.LoadFactor}
 	}
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"celerygap.example/lib/asserter"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/profiler"
 )
 
 // Defaults of Config and constants of the routing.
@@ -52,8 +54,12 @@
 type Router struct {
 	config Config
 	policy policy
-	pools  map[identifier.PoolName][]*node
-	nodes  map[identifier.UpstreamID]*node
+	cost   costPolicy
+	// work is the mean expected work of the requests to each pool.
+	work map[identifier.PoolName]float64
+
+	pools map[identifier.PoolName][]*node
+	nodes map[identifier.UpstreamID]*node
 }
 
 // New returns a router without upstreams; PoolChanged adds them.
@@ -73,7 +79,9 @@
 	return &Router{
 		config: config,
 		policy: newPolicy(config),
+		cost:   costPolicy{profile: profiler.New(profiler.Config{})},
 		pools:  make(map[identifier.PoolName][]*node),
+		work:   make(map[identifier.PoolName]float64),
 		nodes:  make(map[identifier.UpstreamID]*node),
 	}
 }
@@ -86,6 +94,7 @@
 	case LoadReported:
 		if n, ok := r.nodes[e.Report.ID]; ok {
 			n.applyReport(now, e.Report)
+			r.cost.profile.Handle(now, profiler.Stated{Upstream: e.Report.ID, Load: e.Report})
 		}
 	case VersionReported:
 		if n, ok := r.nodes[e.Upstream]; ok {
@@ -102,9 +111,11 @@
 			n.avoidedUntil = now.Add(avoidAfterFailure)
 		}
 	case AttemptStarted:
-		r.countAttempt(now, e.Upstream, 1)
+		r.countAttempt(now, e.Upstream, 1, now, e.Work)
 	case AttemptEnded:
-		r.countAttempt(now, e.Upstream, -1)
+		r.countAttempt(now, e.Upstream, -1, e.StartedAt, e.Work)
+	case Worked:
+		r.cost.profile.Handle(now, profiler.Worked{Upstream: e.Upstream, Amount: e.Work, Took: e.Took, Rough: e.Rough})
 	case Reserved:
 		r.reserve(e.Upstream, true)
 	case Released:
@@ -122,6 +133,7 @@
 			n = newNode(upstream)
 			r.nodes[upstream.ID] = n
 		}
+		r.profileNode(n, upstream, e.Pool)
 		n.upstream = upstream
 		n.pool = e.Pool
 		nodes = append(nodes, n)
@@ -136,10 +148,22 @@
 	}
 }
 
+// profileNode gives a node its picture; an upstream at another address is another process.
+func (r *Router) profileNode(n *node, upstream connector.Upstream, pool identifier.PoolName) {
+	if n.upstream.Address != upstream.Address {
+		r.cost.profile.Handle(time.Time{}, profiler.Removed{Upstream: upstream.ID})
+	}
+	r.cost.profile.Handle(time.Time{}, profiler.Listed{Upstream: upstream.ID, Pool: pool})
+	n.profile, _ = r.cost.profile.Lookup(upstream.ID)
+	n.distance = r.distance(upstream)
+	n.preference = float64(score(xxhash.Sum64String(string(r.config.Host)), n.hash)) / math.MaxUint64
+}
+
 // discardUnused discards a node that is in no pool and has no attempt in flight.
 func (r *Router) discardUnused(n *node) {
 	if n.pool == "" && n.inFlight == 0 {
 		delete(r.nodes, n.upstream.ID)
+		r.cost.profile.Handle(time.Time{}, profiler.Removed{Upstream: n.upstream.ID})
 	}
 }
 
@@ -235,7 +259,15 @@
 		return []Command{NoneAvailable{}}
 	}
 	if e.Idle {
-		return []Command{Chosen{leastInFlight(candidates, xxhash.Sum64String(e.IsolationKey)).upstream}}
+		return []Command{Chosen{Upstream: leastInFlight(candidates, xxhash.Sum64String(e.IsolationKey)).upstream}}
+	}
+	var fallback Fallback
+	if r.cost.profile.States(now, e.Pool) {
+		choice := r.cost.choose(now, candidates, r, work{amount: e.Work, mean: r.meanWork(e.Pool, e.Work), bytes: e.Bytes})
+		if choice.node != nil {
+			return []Command{Chosen{Upstream: choice.node.upstream, ByCost: true, Expected: choice.expected}}
+		}
+		fallback = choice.fallback
 	}
 	prefix := e.Prompt[:min(len(e.Prompt), int(r.config.PrefixLength))]
 	view := view{now: now, reportMaxAge: r.config.ReportMaxAge, key: xxhash.Sum64String(prefix)}
@@ -243,7 +275,7 @@
 		d := r.distance(n.upstream)
 		view.tiers[d] = append(view.tiers[d], n)
 	}
-	return []Command{Chosen{r.policy.choose(view).upstream}}
+	return []Command{Chosen{Upstream: r.policy.choose(view).upstream, Fallback: fallback}}
 }
 
 // candidates returns the upstreams that may run the attempt, and avoided ones only if there are no others. It excludes
@@ -269,13 +301,19 @@
 	return avoided, outdated
 }
 
-func (r *Router) countAttempt(now time.Time, id identifier.UpstreamID, change int) {
+func (r *Router) countAttempt(now time.Time, id identifier.UpstreamID, change int, startedAt time.Time, amount float64) {
 	n, ok := r.nodes[id]
 	if !ok {
 		asserter.Check(asserter.InFlightNeverNegative, change > 0, "upstream %s: an attempt ended on an upstream that is not tracked", id)
 		return
 	}
 	n.addInFlight(now, change)
+	n.addWork(float64(change) * cmp.Or(amount, usualWork))
+	if change > 0 {
+		r.cost.profile.Handle(now, profiler.Started{Upstream: id})
+	} else {
+		r.cost.profile.Handle(now, profiler.Ended{Upstream: id, StartedAt: startedAt})
+	}
 	asserter.Check(asserter.InFlightNeverNegative, n.inFlight >= 0, "upstream %s: %d attempts in flight", id, n.inFlight)
 	r.discardUnused(n)
 }
