profiler, batcher: queues that are stated falsely, pools that fell silent, and engines that load weights

Cause: an engine that stated a full queue which was not there got hardly any items; a pool that was full at its last statement got none for a minute; an engine that loaded weights was tried again every 150 to 600 ms. Change: the stated load is ignored after three runs that began at once despite it; the mean load of a pool fades without statements; an engine that refuses with free slots stated is left alone for 0.9 s. Work of calls and streams is in seconds.

--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -37,7 +37,7 @@
 	{"celerygap_invariant_failures", "checks", []string{"invariant"}, "Failed checks of the program on itself."},
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
 	{"celerygap_choices", "attempts", []string{"entry", "by"}, "Attempts on upstreams that state their speed, by what chose the upstream: the expected cost, or the reason for which the former policy did."},
-	{"celerygap_cost_estimated", "cost", []string{"entry"}, "Expected work of requests, in seconds of a call or events of a stream. Compare it with celerygap_cost_seen."},
+	{"celerygap_cost_estimated", "cost", []string{"entry"}, "Expected work of requests, in seconds at the usual speed. Compare it with celerygap_cost_seen."},
 	{"celerygap_cost_seen", "cost", []string{"entry"}, "Work of the same requests as it was seen afterwards, at the usual speed."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -242,10 +242,7 @@
 		return
 	}
 	it, j := r.item, r.job
-	if r.receivedEvent {
-		r.engine.measure(now, now.Sub(r.lastEventAt))
-		b.completion.profile.Handle(now, profiler.Worked{Upstream: r.engine.host.ID, Amount: 1, Took: now.Sub(r.lastEventAt)})
-	}
+	b.completion.received(now, r)
 	r.measure(now)
 	r.receivedEvent = true
 	r.engine.refusals = 0
@@ -327,7 +324,7 @@
 			j.finish(now, it, codec.ResultStateDead)
 		}
 	case connector.FailureNotStarted:
-		r.engine.refuse(now)
+		b.pauseRefusing(now, r.engine)
 	case connector.FailureBindingMismatch, connector.FailureTruncated:
 		it.notBefore = now.Add(runRetryDelay)
 	case connector.FailureTooLarge:
--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -35,6 +35,10 @@
 	holdRatio = 3
 	// maxGroupEngines bounds the remembered engines that have read the shared prompt of a group.
 	maxGroupEngines = 8
+	// loadingPause is how long an engine that refuses runs although it states free slots gets none: it loads weights, which takes
+	// about 0.9 s. A statement is that of the refusal if it is not older than refusalAge.
+	loadingPause = 900 * time.Millisecond
+	refusalAge   = 100 * time.Millisecond
 	// defaultInterval is the event interval of engines before any event was observed.
 	defaultInterval = 35 * time.Millisecond
 )
@@ -107,6 +111,17 @@
 	}
 }
 
+// received notes an event of a run.
+func (c *completion) received(now time.Time, r *run) {
+	id := r.engine.host.ID
+	if !r.receivedEvent {
+		c.profile.Handle(now, profiler.Began{Upstream: id, StartedAt: r.startedAt})
+		return
+	}
+	r.engine.measure(now, now.Sub(r.lastEventAt))
+	c.profile.Handle(now, profiler.Worked{Upstream: id, Amount: 1, Took: now.Sub(r.lastEventAt)})
+}
+
 // ended notes the end of a run; the text is complete if err is nil and the run was not stopped.
 func (c *completion) ended(now time.Time, r *run, complete bool) {
 	c.profile.Handle(now, profiler.Ended{Upstream: r.engine.host.ID, StartedAt: r.startedAt})
@@ -286,3 +301,14 @@
 	mean := b.completion.lengths.mean(j.job.Model) * b.completion.pass.typical.Seconds()
 	return loss > holdRatio*mean*float64(1+b.completion.pass.waiting)/float64(len(b.runs))
 }
+
+// pauseRefusing pauses an engine that refused a run. One that is full states it, and gets runs again by its stated load.
+func (b *Batcher) pauseRefusing(now time.Time, e *engine) {
+	picture, ok := b.completion.profile.View(now, e.host.ID)
+	if ok && b.completion.profile.States(now, e.host.Pool) && picture.Stated && picture.StatedAge < refusalAge &&
+		picture.Running+picture.Waiting < picture.Slots {
+		e.pause(now, loadingPause)
+		return
+	}
+	e.refuse(now)
+}
--- a/service/batcher/moves.go
+++ b/service/batcher/moves.go
@@ -11,7 +11,7 @@
 const (
 	// movedShare bounds the moved runs in relation to the items of the jobs, because each one reads its prompt and text again;
 	// maxMoveBudget bounds the moves that unused budget allows at once. The first jobs begin with firstMoveBudget.
-	movedShare      = 0.02
+	movedShare      = 0.025
 	firstMoveBudget = 2
 	maxMoveBudget   = 24
 	// lastingTime is how long an engine must have been slow to be taken for lastingly slow; the speed of any engine changes
--- a/service/dispatcher/cost.go
+++ b/service/dispatcher/cost.go
@@ -15,24 +15,19 @@
 	// in seconds.
 	lowestCall = 0.0001
 	usualCall  = 0.025
-	// usualStream is the median number of events of a stream of which nothing is known.
+	// usualStream is the median number of events of a stream of which nothing is known, and usualEvent the work of one event.
 	usualStream = 64
+	usualEvent  = 0.035
 )
 
-// costs learns what requests cost. The work of a call is the time that it takes on an upstream of usual speed, that of a stream
-// its number of events.
-type costs struct {
-	calls, streams *estimator.Estimator
-	// streamPools holds the pools that have served streams. Their work is counted in events, so that calls tell nothing of their
-	// speed.
-	streamPools map[identifier.PoolName]struct{}
-}
+// costs learns what requests cost: calls in seconds on an upstream of usual speed, streams in events. A pool may serve both, so the
+// router gets the work of an event in seconds, too.
+type costs struct{ calls, streams *estimator.Estimator }
 
 func newCosts() costs {
 	return costs{
-		calls:       estimator.New(estimator.Config{Lowest: lowestCall, PriorMedian: usualCall}),
-		streams:     estimator.New(estimator.Config{Lowest: 1, PriorMedian: usualStream}),
-		streamPools: make(map[identifier.PoolName]struct{}),
+		calls:   estimator.New(estimator.Config{Lowest: lowestCall, PriorMedian: usualCall}),
+		streams: estimator.New(estimator.Config{Lowest: 1, PriorMedian: usualStream}),
 	}
 }
 
@@ -40,7 +35,6 @@
 func (c *costs) forget() {
 	c.calls.Forget()
 	c.streams.Forget()
-	clear(c.streamPools)
 }
 
 // costOf returns what is known of a request's cost before it runs.
@@ -53,12 +47,11 @@
 	return j.routeByCost(request, j.d.costs.calls)
 }
 
-// streamRoute returns the routing of a stream, with its expected events.
+// streamRoute returns the routing of a stream, with its expected work.
 func (j *job) streamRoute(request connector.PlainRequest) router.Route {
-	j.d.mu.Lock()
-	j.d.costs.streamPools[j.pool] = struct{}{}
-	j.d.mu.Unlock()
-	return j.routeByCost(request, j.d.costs.streams)
+	want := j.routeByCost(request, j.d.costs.streams)
+	want.Work *= usualEvent
+	return want
 }
 
 func (j *job) routeByCost(request connector.PlainRequest, known *estimator.Estimator) router.Route {
@@ -76,7 +69,7 @@
 // learnCall learns from a response of an upstream that states its speed. The time of a response that waited in the upstream's
 // queue says nothing of the work.
 func (j *job) learnCall(now time.Time, p placement, load codec.LoadReport) {
-	if _, ok := j.d.costs.streamPools[j.pool]; ok || p.work <= 0 || load.Slowness <= 0 || load.Queued > 0 {
+	if p.work <= 0 || load.Slowness <= 0 || load.Queued > 0 {
 		return
 	}
 	took := now.Sub(p.startedAt)
@@ -90,7 +83,7 @@
 func (j *job) learnEvent(p placement, took time.Duration) {
 	j.d.mu.Lock()
 	defer j.d.mu.Unlock()
-	j.d.router.Handle(time.Now(), router.Worked{Upstream: p.upstream.ID, Work: 1, Took: took})
+	j.d.router.Handle(time.Now(), router.Worked{Upstream: p.upstream.ID, Work: usualEvent, Took: took})
 }
 
 // learnStream learns the length of a complete stream.
@@ -101,7 +94,7 @@
 	j.d.mu.Lock()
 	defer j.d.mu.Unlock()
 	j.d.costs.streams.Learn(j.costKey, float64(events))
-	j.config().Meter.Estimated(string(j.entry.Name), p.work, float64(events))
+	j.config().Meter.Estimated(string(j.entry.Name), p.work, usualEvent*float64(events))
 }
 
 // LoadReported passes on the load that an upstream has stated to a part of this host other than the dispatcher, if the upstream
--- a/service/profiler/profiler.go
+++ b/service/profiler/profiler.go
@@ -86,6 +86,12 @@
 	StartedAt time.Time
 }
 
+// Began means that an attempt that started at StartedAt has begun to run: its first event has arrived.
+type Began struct {
+	Upstream  identifier.UpstreamID
+	StartedAt time.Time
+}
+
 // Worked delivers the time that an upstream took for an amount of work: one event of a run, or the expected work of a call in
 // usual seconds. The upstreams of a pool must be measured in the same unit.
 type Worked struct {
@@ -102,6 +108,7 @@
 func (Stated) isEvent()  {}
 func (Started) isEvent() {}
 func (Ended) isEvent()   {}
+func (Began) isEvent()   {}
 func (Worked) isEvent()  {}
 
 // Handle applies one event. Events of upstreams that are not listed have no effect.
@@ -123,6 +130,10 @@
 		if r, ok := p.upstreams[e.Upstream]; ok {
 			r.end(e.StartedAt)
 		}
+	case Began:
+		if r, ok := p.upstreams[e.Upstream]; ok {
+			r.began(now, e.StartedAt)
+		}
 	case Worked:
 		if r, ok := p.upstreams[e.Upstream]; ok {
 			r.worked(now, e)
@@ -267,10 +278,13 @@
 		return
 	}
 	*v = Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
-	v.Others = pool.others.mean * float64(v.Slots)
+	if !pool.others.at.IsZero() && r.falseQueues < minFalseQueues {
+		// Without statements the mean counts less and less, too, so that a pool that was full once is tried again.
+		v.Others = pool.others.mean * float64(v.Slots) * decay(float64(now.Sub(pool.others.at))/float64(othersHalfLife))
+	}
 	if !r.statedAt.IsZero() {
 		v.StatedAge = now.Sub(r.statedAt)
-		if v.Stated = v.StatedAge <= maxStatementAge; v.Stated {
+		if v.Stated = v.StatedAge <= maxStatementAge && r.falseQueues < minFalseQueues; v.Stated {
 			v.Others += (float64(r.others) - v.Others) * decay(float64(v.StatedAge)/float64(othersHalfLife))
 		}
 	}
--- a/service/profiler/profiler_test.go
+++ b/service/profiler/profiler_test.go
@@ -97,6 +97,28 @@
 	require.Equal(t, x.view("a").LongRun, x.view("a").Present)
 }
 
+// Guards against an upstream that gets no work because it states a queue in which nothing waits.
+func TestFalseQueueIsIgnored(t *testing.T) {
+	x := newHarness(t)
+	for range 3 {
+		require.Greater(t, x.view("a").Others+1, float64(x.view("a").Running))
+		started := x.now
+		x.p.Handle(x.now, profiler.Started{Upstream: "a"})
+		x.now = x.now.Add(5 * time.Millisecond)
+		x.state("a", 6, 18, 1)
+		x.now = x.now.Add(30 * time.Millisecond)
+		x.p.Handle(x.now, profiler.Began{Upstream: "a", StartedAt: started})
+	}
+	require.Zero(t, x.view("a").Others)
+	require.True(t, x.view("a").FalseStatements)
+	started := x.now
+	x.now = x.now.Add(5 * time.Millisecond)
+	x.state("a", 6, 18, 1)
+	x.now = x.now.Add(2 * time.Second)
+	x.p.Handle(x.now, profiler.Began{Upstream: "a", StartedAt: started})
+	require.NotZero(t, x.view("a").Others, "the queue is real now")
+}
+
 // Guards against an upstream without knowledge that gets no work, or all of it: it counts as a typical one, with a large error.
 func TestUnknownUpstreamIsTypical(t *testing.T) {
 	x := newHarness(t)
--- a/service/profiler/record.go
+++ b/service/profiler/record.go
@@ -37,6 +37,10 @@
 	deviationWeight = 0.1
 	// minDeviations is the number of compared statements from which on they may be found to be false.
 	minDeviations = 10
+	// minFalseQueues is the number of attempts in a row that began within queueTime although as many others waited as there are
+	// slots, from which on the stated load is not believed.
+	minFalseQueues = 3
+	queueTime      = 200 * time.Millisecond
 	// maxStarts bounds the remembered start times of own attempts; more than that count as older than a statement.
 	maxStarts = 32
 	defSlots  = 8
@@ -101,6 +105,8 @@
 	// deviation is the mean deviation of statements from observations, as a logarithm.
 	deviation  float64
 	deviations int
+	// falseQueues counts the attempts in a row that did not wait in the stated queue.
+	falseQueues int
 	// starts holds the start times of the newest own attempts in progress, oldest first. It is last, so that the fields of a
 	// picture are close together in memory.
 	starts [maxStarts]time.Time
@@ -152,6 +158,17 @@
 	return max(0, r.own-later)
 }
 
+// began compares the time after which an attempt began with the queue that was stated after its start.
+func (r *record) began(now, startedAt time.Time) {
+	switch {
+	case r.statedAt.Before(startedAt) || r.waiting < r.slots():
+	case now.Sub(startedAt) < queueTime:
+		r.falseQueues++
+	default:
+		r.falseQueues = 0
+	}
+}
+
 func (r *record) worked(now time.Time, e Worked) {
 	if e.Amount <= 0 || e.Took < 0 {
 		return
@@ -198,7 +215,7 @@
 func (r *record) statedRatio() float64 { return r.slowness / r.statements.mean }
 
 func (r *record) contradicted() bool {
-	return r.deviations >= minDeviations && r.deviation > falseStatements
+	return r.deviations >= minDeviations && r.deviation > falseStatements || r.falseQueues >= minFalseQueues
 }
 
 // usualSpeed is the estimate of the long-run speed at a time: the seconds per work, those that are typical of the pool, and the
