--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -38,6 +38,9 @@
 	{"celerygap_catalogue_revision", "revision", nil, "Catalogue revision in force on this host."},
 	{"celerygap_admission_wait", "s", []string{"entry", "priority"}, "Time that requests of customers waited for their admission or refusal, by the priority of the customer; 9 stands for all lower ones."},
 	{"celerygap_key_checks", "requests", []string{"outcome"}, "Requests by the result of the check of their key, where keys are required."},
+	{"celerygap_choices", "attempts", []string{"entry", "by"}, "Attempts on upstreams that state their speed, by what chose the upstream: the expected cost, or the reason for which the former policy did."},
+	{"celerygap_cost_estimated", "cost", []string{"entry"}, "Expected work of requests, in seconds at the usual speed. Compare it with celerygap_cost_seen."},
+	{"celerygap_cost_seen", "cost", []string{"entry"}, "Work of the same requests as it was seen afterwards, at the usual speed."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_duty_calls", "calls", []string{"duty", "outcome"}, "Calls of the platform that one host at a time makes."},
 	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
@@ -64,6 +67,9 @@
 	wait      metric.Float64Counter
 	keys      metric.Int64Counter
 	admission metric.Float64Histogram
+	choices   metric.Int64Counter
+	estimated metric.Float64Counter
+	seen      metric.Float64Counter
 	store     metric.Int64Counter
 	duty      metric.Int64Counter
 	windows   metric.Int64Counter
@@ -98,6 +104,9 @@
 	m.staleness = b.histogram("celerygap_sample_staleness")
 	m.keys = b.counter("celerygap_key_checks")
 	m.admission = b.histogram("celerygap_admission_wait")
+	m.choices = b.counter("celerygap_choices")
+	m.estimated = b.floatCounter("celerygap_cost_estimated")
+	m.seen = b.floatCounter("celerygap_cost_seen")
 	m.store = b.counter("celerygap_store_calls")
 	m.duty = b.counter("celerygap_duty_calls")
 	m.windows = b.counter("celerygap_usage_windows")
@@ -141,6 +150,18 @@
 	m.duration.Record(context.Background(), seconds, metric.WithAttributes(attribute.String("entry", entry)))
 }
 
+// Chosen counts an attempt on an upstream that states its speed, by what chose the upstream.
+func (m *Meter) Chosen(entry, by string) {
+	m.choices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("entry", entry), attribute.String("by", by)))
+}
+
+// Estimated adds the expected and the seen work of a request.
+func (m *Meter) Estimated(entry string, estimated, seen float64) {
+	labels := metric.WithAttributes(attribute.String("entry", entry))
+	m.estimated.Add(context.Background(), estimated, labels)
+	m.seen.Add(context.Background(), seen, labels)
+}
+
 // Delivered counts a delivered sample and records its staleness in versions.
 func (m *Meter) Delivered(trainer string, versions float64) {
 	labels := metric.WithAttributes(attribute.String("trainer", trainer))
--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -25,6 +25,10 @@
 	fullTime = 0.1
 	// maxGroupEngines bounds the remembered engines that have read the shared prompt of a group.
 	maxGroupEngines = 8
+	// loadingPause is how long an engine that refuses runs although it states free slots gets none: it loads weights, which takes
+	// about 0.9 s. A statement is that of the refusal if it is not older than refusalAge.
+	loadingPause = 900 * time.Millisecond
+	refusalAge   = 100 * time.Millisecond
 	// defaultInterval is the event interval of engines before any event was observed.
 	defaultInterval = 35 * time.Millisecond
 )
@@ -85,6 +89,17 @@
 	}
 }
 
+// received notes an event of a run.
+func (c *completion) received(now time.Time, r *run) {
+	id := r.engine.host.ID
+	if !r.receivedEvent {
+		c.profile.Handle(now, profiler.Began{Upstream: id, StartedAt: r.startedAt})
+		return
+	}
+	r.engine.measure(now, now.Sub(r.lastEventAt))
+	c.profile.Handle(now, profiler.Worked{Upstream: id, Amount: 1, Took: now.Sub(r.lastEventAt)})
+}
+
 // ended notes the end of a run; the text is complete if err is nil and the run was not stopped.
 func (c *completion) ended(now time.Time, r *run, complete bool) {
 	c.profile.Handle(now, profiler.Ended{Upstream: r.engine.host.ID, StartedAt: r.startedAt})
@@ -134,7 +149,8 @@
 			remaining := b.remainingEvents(j, it)
 			end := remaining * p.typical.Seconds()
 			if it.run != nil {
-				end = p.pictures[it.run.engine.host.ID].Expected(remaining).Seconds()
+				picture := p.pictures[it.run.engine.host.ID]
+				end = picture.Expected(remaining).Seconds()
 			}
 			key := groupKey{j.job.ID, it.spec.Group}
 			p.finish[key] = max(p.finish[key], end)
@@ -185,14 +201,15 @@
 		enough = 0
 	}
 	var best *engine
-	var bestCost float64
+	var bestCost, bestTime float64
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
 		if _, without := b.withoutTurn[id]; without || !it.fits(e) || !e.serves(now, j) || !b.hasRoom(e) {
 			continue
 		}
 		picture := c.pass.pictures[id]
-		cost := max(b.expectedTime(j, it, e, remaining), enough) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
+		expected := b.expectedTime(j, it, e, remaining)
+		cost := max(expected, enough) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
 		if !slices.Contains(c.groupEngines[key], id) {
 			cost += splitCost
 		}
@@ -203,9 +220,10 @@
 			cost += foreignTime
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+			best, bestCost, bestTime = e, cost, expected
 		}
 	}
+	j.expected = time.Duration(bestTime * float64(time.Second))
 	return best
 }
 
@@ -214,3 +232,14 @@
 	picture := b.completion.pass.pictures[e.host.ID]
 	return e.inFlight < picture.Slots && b.expectedLoad(e, picture)+1 <= float64(picture.Slots+queueAhead)
 }
+
+// pauseRefusing pauses an engine that refused a run. One that is full states it, and gets runs again by its stated load.
+func (b *Batcher) pauseRefusing(now time.Time, e *engine) {
+	picture, ok := b.completion.profile.View(now, e.host.ID)
+	if ok && b.completion.profile.States(now, e.host.Pool) && picture.Stated && picture.StatedAge < refusalAge &&
+		picture.Running+picture.Waiting < picture.Slots {
+		e.pause(now, loadingPause)
+		return
+	}
+	e.refuse(now)
+}
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -95,6 +95,8 @@
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
 	ended      bool
+	// expected is the expected time until the completion of the item whose engine was chosen last, zero if it was not chosen by that.
+	expected time.Duration
 	// results holds the results in the store; pending holds the final results that are not stored yet, of which the
 	// first inAppend are being written.
 	results   []codec.BatchResult
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -35,6 +35,8 @@
 	sink    connector.StreamSink
 	started bool
 	last    identifier.EventNumber
+	// lastAt is when the last event of the present attempt arrived; zero before the first one.
+	lastAt time.Time
 	// plainResponse is the upstream's response if it is not a stream.
 	plainResponse *connector.PlainResponse
 }
@@ -82,7 +84,7 @@
 		return refusal
 	}
 	defer j.release()
-	return j.runAttempts(ctx, j.plainRoute(), s.runAttempt)
+	return j.runAttempts(ctx, j.streamRoute(s.request), s.runAttempt)
 }
 
 // bindToOrigin makes the pool and the software version that began a caller's stream the only ones that may continue it.
@@ -123,6 +125,7 @@
 		j.config().Log.Info(logger.StreamResumed).Str("request", j.requestID).Int64("after", int64(s.last)).Str("upstream", string(p.upstream.ID)).
 			Str("software", string(p.upstream.Software)).Send()
 	}
+	s.lastAt = time.Time{}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stallTimer := time.AfterFunc(streamStallTimeout, func() {
@@ -150,6 +153,9 @@
 		return nil
 	}
 	j.recordResponse(p, connector.PlainResponse{}, err)
+	if err == nil {
+		j.learnStream(p, s.last)
+	}
 	return err
 }
 
@@ -168,6 +174,12 @@
 		return &connector.UpstreamError{Failure: connector.FailureBindingMismatch, Err: errStreamStalled}
 	}
 	s.last = event.Number
+	if now := time.Now(); p.work > 0 {
+		if !s.lastAt.IsZero() {
+			s.job.learnEvent(p, now.Sub(s.lastAt))
+		}
+		s.lastAt = now
+	}
 	if event.Number == 1 {
 		s.recordOrigin(p)
 	}
