--- a/service/batcher/leaving.go
+++ b/service/batcher/leaving.go
@@ -50,7 +50,8 @@
 
 // expectedRest returns how long the run will still take: what the text lacks, at the speed of the run, or that of its engine.
 func (b *Batcher) expectedRest(now time.Time, r *run, typical time.Duration) time.Duration {
-	events := max(int(b.remainingEvents(r.job, r.item)), 1)
+	// A text that is longer than expected may go on for as long again.
+	events := max(int(b.remainingEvents(r.job, r.item)), len(r.item.events), 1)
 	interval := r.interval()
 	if interval == 0 && r.engine.measured(now) {
 		interval = r.engine.eventInterval
