scaler: preemptible engines hold the reserve only, and no engine is replaced soon after engines were needed

Cause: up to half of the engines were preemptible, and all of a zone may be taken at a notice of 2 s; a late step costs callers more than the price of an engine. Replacements right after a rise cost prompts and weights that are read again. Change: at most the reserve, a fifth of the engines, is preemptible; cheaper engines are ordered once nothing was needed for 15 s.

--- a/service/scaler/plan.go
+++ b/service/scaler/plan.go
@@ -21,8 +21,9 @@
 	// silenceTime is how long nothing was heard of a pool before it counts as idle: another host may serve it while the links to
 	// this one are cut.
 	silenceTime = 60 * time.Second
-	// maxPreemptiblePart bounds the preemptible engines of a pool, so that the loss of those of two zones at once leaves half.
-	maxPreemptiblePart = 0.5
+	// maxPreemptiblePart bounds the preemptible engines of a pool to the reserve, so that callers keep what they need if all of them
+	// are taken away at once: a late step costs more than an engine.
+	maxPreemptiblePart = reservePart / (1 + reservePart)
 	// maxZonePart is the part of a pool's engines up to which a zone is chosen by its price.
 	maxZonePart = 0.5
 	// minGain is the least saving, as a part of the price, for which engines take the place of others.
@@ -173,6 +174,7 @@
 			return
 		}
 		p.add(now, at, ReasonNeed)
+		p.raisedAt = now
 		p.surplusSince = time.Time{}
 	}
 }
@@ -295,9 +297,11 @@
 	return float64(p.zoneTotal(now, zone)) > maxZonePart*engines+1
 }
 
-// cheapen orders an engine that is to take the place of a more expensive one, which the surplus gives back later.
+// cheapen orders an engine that is to take the place of a more expensive one, which the surplus gives back later. Soon after engines
+// were needed it does nothing, because each replacement costs prompts and weights that are read again.
 func (p *pool) cheapen(now time.Time, needed int) {
-	if p.total(now) != p.required(now, needed) || !p.knowsWork(now) || p.changing(now) || now.Sub(p.cheaperAt) < cheaperInterval {
+	if p.total(now) != p.required(now, needed) || !p.knowsWork(now) || p.changing(now) || now.Sub(p.cheaperAt) < cheaperInterval ||
+		now.Sub(p.raisedAt) < surplusTime {
 		return
 	}
 	dearest, ok := p.dearest(now)
--- a/service/scaler/scaler.go
+++ b/service/scaler/scaler.go
@@ -56,8 +56,9 @@
 	// surplusSince is since when an engine was not needed, or zero; loweredAt is the last reduction of each zone.
 	surplusSince time.Time
 	loweredAt    map[identifier.Zone]time.Time
-	cheaperAt    time.Time
-	status       Status
+	// raisedAt is when engines were needed last, cheaperAt when one was ordered to take the place of another.
+	raisedAt, cheaperAt time.Time
+	status              Status
 }
 
 // Status is the result of the last decision about a pool.
