--- a/service/accountant/reporter.go
+++ b/service/accountant/reporter.go
@@ -23,7 +23,7 @@
 // Event is an input of Reporter.
 type Event interface{ isEvent() }
 
-// Tick advances the time. Holding tells whether this host holds the lease, Earliest is the first window that is reported if no
+// Tick advances the time. Holding reports whether this host holds the lease, Earliest is the first window that is reported if no
 // report was ever written.
 type Tick struct {
 	Holding  bool
--- a/service/leaseholder/holder_test.go
+++ b/service/leaseholder/holder_test.go
@@ -64,7 +64,7 @@
 	holders  map[identifier.HostID]*leaseholder.Holder
 	// kills holds the functions that end a host without a release of the lease.
 	kills map[identifier.HostID]context.CancelFunc
-	// reachable tells whether the hosts find a connection to the receiver of the calls.
+	// reachable is set while the hosts find a connection to the receiver of the calls.
 	reachable atomic.Bool
 
 	mu   sync.Mutex
--- a/service/leaseholder/reach.go
+++ b/service/leaseholder/reach.go
@@ -46,7 +46,7 @@
 		if err == nil && h.unreached >= unreachedCalls {
 			h.reaching = chosen.ID
 		}
-		// Without a host, the next call tells whether to ask again.
+		// Without a host, the result of the next call decides whether to ask again.
 		h.unreached = min(h.unreached, unreachedCalls-1)
 		h.mu.Unlock()
 		notify(h.wake)
--- a/service/scaler/events.go
+++ b/service/scaler/events.go
@@ -43,7 +43,7 @@
 	Outcome Outcome
 }
 
-// Tick advances the time of the state machine and is the only event that returns orders. Held tells whether this host holds the
+// Tick advances the time of the state machine and is the only event that returns orders. Held reports whether this host holds the
 // lease for duties.
 type Tick struct{ Held bool }
 
