--- a/service/batcher/moves.go
+++ b/service/batcher/moves.go
@@ -11,8 +11,6 @@
 	// seconds that a move must save: the prompt and the text are read again, and the new engine may turn slow as well.
 	minSavedRatio = 1.25
 	minSaving     = 0.3
-	// lastingTime is how long an engine must have been slow for its runs to move: speeds change for 600 ms at a time.
-	lastingTime = 800 * time.Millisecond
 	// tailShare is the share of the time to the end of the job's last text from which on a text may delay the job. Others end
 	// before it wherever they run, so they stay.
 	tailShare = 0.25
@@ -52,10 +50,6 @@
 	own := r.interval()
 	remaining := max(b.remainingEvents(r.job, r.item), minRemainingEvents)
 	stay := remaining * own.Seconds()
-	slow := b.completion.pass.pictures[r.engine.host.ID]
-	if slow.SlowFor < lastingTime && slow.LongRun <= time.Duration(minSavedRatio*float64(b.completion.pass.typical)) {
-		return 0
-	}
 	if stay <= minSaving || stay < tailShare*b.completion.pass.jobFinish[r.job.job.ID] {
 		return 0
 	}
