spreader: a store that responds just after a pause does not confirm the configuration

Cause: a host that watches the store took its state for current after a pause because the store responded to its check, before the watch had brought the changes of that time. Change: comparisons with the store do not count for 2 s after a pause.

--- a/service/spreader/confirmation.go
+++ b/service/spreader/confirmation.go
@@ -7,6 +7,9 @@
 	pauseLimit = time.Second
 	// pauseDistrust is how long after a pause messages may be those that had arrived during it.
 	pauseDistrust = time.Second
+	// watchDistrust is how much longer the watch of the store may not have brought the changes that came during the pause: it may have
+	// ended meanwhile, and the list that follows takes some time.
+	watchDistrust = time.Second
 )
 
 // Confirmation tells when a state was current for certain. Unlike the ages by which hosts choose their roles, it does not trust messages
@@ -31,6 +34,15 @@
 	}
 }
 
+// Compared records that the store responded to a request of this host while it watches the store. After a pause that does not show
+// that the state is current: the changes of that time may not have been read yet, or the watch has ended meanwhile.
+func (c *Confirmation) Compared(now, requested time.Time) {
+	c.Alive(now)
+	if c.distrustUntil.IsZero() || !now.Before(c.distrustUntil.Add(watchDistrust)) {
+		c.at = latest(c.at, requested)
+	}
+}
+
 // Asked records the reply to a request of this host, by which the state was current the given time before the request or later.
 func (c *Confirmation) Asked(requested time.Time, age time.Duration) {
 	c.at = latest(c.at, requested.Add(-age))
--- a/service/spreader/confirmation_test.go
+++ b/service/spreader/confirmation_test.go
@@ -35,3 +35,19 @@
 	c.Told(suspended, suspended)
 	require.Equal(t, at(resumed+time.Second), c.At(suspended))
 }
+
+// Guards against a host that watches the store and, just after a pause, takes its state for current because the store responds: the
+// changes that came during the pause are read later, so a new key would be refused for good.
+func TestStoreThatRespondsAfterAPauseConfirmsNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var c spreader.Confirmation
+	c.Compared(start, start)
+	require.Equal(t, start, c.At(start))
+	woken := start.Add(4 * time.Second)
+	c.Compared(woken, woken)
+	require.Equal(t, start, c.At(woken))
+	for at := woken; at.Before(woken.Add(3 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		c.Compared(at, at)
+	}
+	require.True(t, c.At(woken.Add(3*time.Second)).After(woken.Add(2*time.Second)))
+}
--- a/service/spreader/driver.go
+++ b/service/spreader/driver.go
@@ -152,8 +152,9 @@
 		return
 	}
 	d.mu.Lock()
-	d.machine.Check(time.Now())
-	d.current.Asked(asked, 0)
+	now := time.Now()
+	d.machine.Check(now)
+	d.current.Compared(now, asked)
 	d.mu.Unlock()
 	d.push(ctx, recipients)
 }
