--- a/lib/timer/timer.go
+++ b/lib/timer/timer.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// Each calls a function each interval until the context ends. Ticks that come due during a call are dropped but for one, so a slow
+// function never gets a backlog.
+func (s *Service) Each(ctx context.Context, interval time.Duration, call func()) {
+	ticks, cancel := s.Subscribe(interval)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			call()
+		}
+	}
+}
+
 // Run sends ticks until the context ends. It sleeps until the next subscription is due: a fixed tick of 5 ms would wake
 // each idle host 200 times a second.
 func (s *Service) Run(ctx context.Context) error {
--- a/lib/timer/timer_test.go
+++ b/lib/timer/timer_test.go
@@ -35,6 +35,33 @@
 	})
 }
 
+// Guards against calls that go on after the context ended, and against a backlog of calls after a slow one.
+func TestEachCallsUntilTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := timer.New(timer.Config{})
+		ctx, cancel := context.WithCancel(t.Context())
+		group := grouper.NewGroup(-1)
+		group.Go(func() { _ = service.Run(ctx) })
+		calls := 0
+		group.Go(func() {
+			service.Each(ctx, 100*time.Millisecond, func() {
+				calls++
+				if calls == 1 {
+					time.Sleep(time.Second)
+				}
+			})
+		})
+		time.Sleep(1250 * time.Millisecond)
+		cancel()
+		group.Wait()
+		require.GreaterOrEqual(t, calls, 2)
+		require.LessOrEqual(t, calls, 4)
+		after := calls
+		time.Sleep(time.Second)
+		require.Equal(t, after, calls)
+	})
+}
+
 // BenchmarkIdleSecond measures the CPU time of one second of an idle host with a subscription of 200 ms.
 func BenchmarkIdleSecond(b *testing.B) {
 	service := timer.New(timer.Config{})
--- a/service/authenticator/authenticator.go
+++ b/service/authenticator/authenticator.go
@@ -52,16 +52,8 @@
 // Run reloads the files when they change, until the context ends. If they cannot be used, it logs a warning and keeps the
 // identity that was loaded last.
 func (i *Identity) Run(ctx context.Context) error {
-	ticks, cancel := i.config.Timer.Subscribe(reloadPeriod)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-			i.reload()
-		}
-	}
+	i.config.Timer.Each(ctx, reloadPeriod, i.reload)
+	return nil
 }
 
 func (i *Identity) reload() {
--- a/service/binder/driver.go
+++ b/service/binder/driver.go
@@ -74,20 +74,14 @@
 
 // Run forgets expired records until ctx ends, then waits for the calls under way; its error is always nil.
 func (d *Driver) Run(ctx context.Context) error {
-	ticks, stop := d.config.Timer.Subscribe(expiryInterval)
-	defer stop()
 	defer d.work.Wait()
 	defer d.cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-			d.mu.Lock()
-			d.records.Expire(time.Now())
-			d.mu.Unlock()
-		}
-	}
+	d.config.Timer.Each(ctx, expiryInterval, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.records.Expire(time.Now())
+	})
+	return nil
 }
 
 // Record keeps the origin of a stream for a time, here and on the directory hosts. It does not wait for these.
--- a/service/demandkeeper/driver.go
+++ b/service/demandkeeper/driver.go
@@ -81,18 +81,10 @@
 
 // Run sends a report each second until ctx ends, then ends the calls under way; its error is always nil.
 func (d *Driver) Run(ctx context.Context) error {
-	ticks, stop := d.config.Timer.Subscribe(reportInterval)
-	defer stop()
 	defer d.work.Wait()
 	defer d.cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-			d.Report()
-		}
-	}
+	d.config.Timer.Each(ctx, reportInterval, d.Report)
+	return nil
 }
 
 // Demand returns the demand of all hosts that reported to this one lately.
--- a/service/pacer/driver.go
+++ b/service/pacer/driver.go
@@ -74,21 +74,15 @@
 
 // Run forgets old limits until ctx ends, then waits for the requests under way; its error is always nil.
 func (d *Driver) Run(ctx context.Context) error {
-	ticks, stop := d.config.Timer.Subscribe(expiryInterval)
-	defer stop()
 	defer d.work.Wait()
 	defer d.cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-			d.handle(Tick{})
-			d.mu.Lock()
-			d.scheduler.Expire(time.Now())
-			d.mu.Unlock()
-		}
-	}
+	d.config.Timer.Each(ctx, expiryInterval, func() {
+		d.handle(Tick{})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.scheduler.Expire(time.Now())
+	})
+	return nil
 }
 
 // Take uses up a turn for one request to an upstream, if there is one. Otherwise it requests one and returns the earliest time
--- a/service/scaler/driver.go
+++ b/service/scaler/driver.go
@@ -84,18 +84,12 @@
 // Run decides and sends orders until ctx ends. It returns nil after the calls under way have ended.
 func (d *Driver) Run(ctx context.Context) error {
 	defer d.calls.Wait()
-	ticks, stop := d.config.Timer.Subscribe(tickInterval)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-			if d.active.Load() {
-				d.tick(ctx, time.Now())
-			}
+	d.config.Timer.Each(ctx, tickInterval, func() {
+		if d.active.Load() {
+			d.tick(ctx, time.Now())
 		}
-	}
+	})
+	return nil
 }
 
 // tick decides, and starts the call that is due.
