--- a/service/batcher/completion.go
+++ b/service/batcher/completion.go
@@ -45,8 +45,8 @@
 
 // pass is the state of one pass of schedule.
 type pass struct {
-	at       time.Time
-	pictures map[identifier.UpstreamID]profiler.Picture
+	at        time.Time
+	snapshots map[identifier.UpstreamID]profiler.Snapshot
 	// typical is the median of the engines' long-run event intervals.
 	typical time.Duration
 	// finish is the expected seconds until all texts of a group are complete, if those that wait start now.
@@ -59,7 +59,7 @@
 	return &completion{
 		profile: profiler.New(profiler.Config{}), lengths: newLengths(), groupEngines: make(map[groupKey][]identifier.UpstreamID),
 		pass: pass{
-			pictures: make(map[identifier.UpstreamID]profiler.Picture), finish: make(map[groupKey]float64), jobFinish: make(map[identifier.BatchID]float64),
+			snapshots: make(map[identifier.UpstreamID]profiler.Snapshot), finish: make(map[groupKey]float64), jobFinish: make(map[identifier.BatchID]float64),
 		},
 	}
 }
@@ -115,22 +115,22 @@
 	})
 }
 
-// beginPass computes the pictures of all engines and the expected end of each open group.
+// beginPass computes the snapshots of all engines and the expected end of each open group.
 func (b *Batcher) beginPass(now time.Time) {
 	p := &b.completion.pass
 	p.at = now
-	clear(p.pictures)
+	clear(p.snapshots)
 	clear(p.finish)
 	clear(p.jobFinish)
 	var intervals []time.Duration
 	for _, id := range b.engineIDs {
-		picture, ok := b.completion.profile.View(now, id)
+		snapshot, ok := b.completion.profile.View(now, id)
 		if !ok {
-			picture.Slots, picture.Own = b.engines[id].slots(), b.engines[id].inFlight
+			snapshot.Slots, snapshot.Own = b.engines[id].slots(), b.engines[id].inFlight
 		}
-		p.pictures[id] = picture
-		if picture.LongRun > 0 {
-			intervals = append(intervals, picture.LongRun)
+		p.snapshots[id] = snapshot
+		if snapshot.LongRun > 0 {
+			intervals = append(intervals, snapshot.LongRun)
 		}
 	}
 	p.typical = defaultInterval
@@ -149,8 +149,8 @@
 			remaining := b.remainingEvents(j, it)
 			end := remaining * p.typical.Seconds()
 			if it.run != nil {
-				picture := p.pictures[it.run.engine.host.ID]
-				end = picture.Expected(remaining).Seconds()
+				snapshot := p.snapshots[it.run.engine.host.ID]
+				end = snapshot.Expected(remaining).Seconds()
 			}
 			key := groupKey{j.job.ID, it.spec.Group}
 			p.finish[key] = max(p.finish[key], end)
@@ -164,26 +164,26 @@
 }
 
 // expectedLoad returns the expected number of requests of all hosts on an engine.
-func (b *Batcher) expectedLoad(e *engine, picture profiler.Picture) float64 {
-	return float64(e.inFlight) + picture.Others
+func (b *Batcher) expectedLoad(e *engine, snapshot profiler.Snapshot) float64 {
+	return float64(e.inFlight) + snapshot.Others
 }
 
 // expectedTime returns the expected seconds until an item's text is complete on an engine, if its run starts now.
 func (b *Batcher) expectedTime(j *job, it *item, e *engine, remaining float64) float64 {
-	picture := b.completion.pass.pictures[e.host.ID]
-	if picture.LongRun <= 0 {
-		picture.LongRun = b.completion.pass.typical
+	snapshot := b.completion.pass.snapshots[e.host.ID]
+	if snapshot.LongRun <= 0 {
+		snapshot.LongRun = b.completion.pass.typical
 	}
 	wait := 0.0
-	if excess := b.expectedLoad(e, picture) + 1 - float64(picture.Slots); excess > 0 {
-		run := b.completion.lengths.mean(j.job.Model) * picture.LongRun.Seconds()
-		wait = excess / float64(picture.Slots) * run
+	if excess := b.expectedLoad(e, snapshot) + 1 - float64(snapshot.Slots); excess > 0 {
+		run := b.completion.lengths.mean(j.job.Model) * snapshot.LongRun.Seconds()
+		wait = excess / float64(snapshot.Slots) * run
 	}
 	read := float64(len(it.events))
 	if !slices.Contains(b.completion.groupEngines[groupKey{j.job.ID, it.spec.Group}], e.host.ID) {
 		read += float64(it.spec.Tokens)
 	}
-	return wait + read/readPerSecond + picture.Expected(remaining).Seconds()
+	return wait + read/readPerSecond + snapshot.Expected(remaining).Seconds()
 }
 
 // chooseByCompletion returns the engine with room on which an item is expected to be complete first, or nil if none has room. An item
@@ -207,9 +207,9 @@
 		if _, without := b.withoutTurn[id]; without || !it.fits(e) || !e.serves(now, j) || !b.hasRoom(e) {
 			continue
 		}
-		picture := c.pass.pictures[id]
+		snapshot := c.pass.snapshots[id]
 		expected := b.expectedTime(j, it, e, remaining)
-		cost := max(expected, enough) + fullTime*b.expectedLoad(e, picture)/float64(picture.Slots)
+		cost := max(expected, enough) + fullTime*b.expectedLoad(e, snapshot)/float64(snapshot.Slots)
 		if !slices.Contains(c.groupEngines[key], id) {
 			cost += splitCost
 		}
@@ -229,15 +229,15 @@
 
 // hasRoom reports whether an engine is expected to begin a further run at once or soon.
 func (b *Batcher) hasRoom(e *engine) bool {
-	picture := b.completion.pass.pictures[e.host.ID]
-	return e.inFlight < picture.Slots && b.expectedLoad(e, picture)+1 <= float64(picture.Slots+queueAhead)
+	snapshot := b.completion.pass.snapshots[e.host.ID]
+	return e.inFlight < snapshot.Slots && b.expectedLoad(e, snapshot)+1 <= float64(snapshot.Slots+queueAhead)
 }
 
 // pauseRefusing pauses an engine that refused a run. One that is full states it, and gets runs again by its stated load.
 func (b *Batcher) pauseRefusing(now time.Time, e *engine) {
-	picture, ok := b.completion.profile.View(now, e.host.ID)
-	if ok && b.completion.profile.States(now, e.host.Pool) && picture.Stated && picture.StatedAge < refusalAge &&
-		picture.Running+picture.Waiting < picture.Slots {
+	snapshot, ok := b.completion.profile.View(now, e.host.ID)
+	if ok && b.completion.profile.States(now, e.host.Pool) && snapshot.Stated && snapshot.StatedAge < refusalAge &&
+		snapshot.Running+snapshot.Waiting < snapshot.Slots {
 		e.pause(now, loadingPause)
 		return
 	}
--- a/service/batcher/moves.go
+++ b/service/batcher/moves.go
@@ -56,8 +56,8 @@
 	best := stay
 	for _, id := range b.engineIDs {
 		e := b.engines[id]
-		picture := b.completion.pass.pictures[id]
-		if e == r.engine || !r.item.fits(e) || !e.serves(now, r.job) || b.expectedLoad(e, picture)+1 > float64(picture.Slots) || !b.pacer.Available(id) {
+		snapshot := b.completion.pass.snapshots[id]
+		if e == r.engine || !r.item.fits(e) || !e.serves(now, r.job) || b.expectedLoad(e, snapshot)+1 > float64(snapshot.Slots) || !b.pacer.Available(id) {
 			continue
 		}
 		best = min(best, b.expectedTime(r.job, r.item, e, remaining))
--- a/service/profiler/doc.go
+++ b/service/profiler/doc.go
@@ -1,4 +1,4 @@
-// Package profiler owns a host's picture of each upstream: the load that the upstream states, the age of that statement, the
+// Package profiler records what a host knows of each upstream: the load that the upstream states, the age of that statement, the
 // host's own attempts there, the long-run speed of the machine, its speed at present and the errors of both.
 //
 // The load that it answers: machines of one pool differ lastingly, some turn several times slower for seconds, and all change
--- a/service/profiler/profiler.go
+++ b/service/profiler/profiler.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxUpstreams bounds the upstreams of which a picture is kept; it is twice the largest planned fleet.
+	// maxUpstreams bounds the upstreams of which a record is kept; it is twice the largest planned fleet.
 	maxUpstreams = 6000
 	// travelTime is the age that an own attempt must have to be counted in a load that arrives now. Attempts that were started
 	// later have not reached the upstream yet.
@@ -74,7 +74,7 @@
 	Slots int
 }
 
-// Removed discards the picture of an upstream.
+// Removed discards the record of an upstream.
 type Removed struct{ Upstream identifier.UpstreamID }
 
 // Stated delivers the load that an upstream has stated in a response that arrives now.
@@ -222,9 +222,9 @@
 	return false
 }
 
-// Picture is what a host believes of an upstream. Speeds are times per unit of work; zero means that nothing was observed in
+// Snapshot is what a host knows of an upstream at one moment. Speeds are times per unit of work; zero means that nothing was observed in
 // the pool.
-type Picture struct {
+type Snapshot struct {
 	Slots int
 	// Running and Waiting are as the upstream stated StatedAge ago; Stated is false if that is too long ago to say anything.
 	Running, Waiting int
@@ -248,16 +248,16 @@
 	FalseStatements bool
 }
 
-// View returns the picture of an upstream; ok is false if it is not listed.
-func (p *Profiler) View(now time.Time, id identifier.UpstreamID) (picture Picture, ok bool) {
+// View returns the snapshot of an upstream; ok is false if it is not listed.
+func (p *Profiler) View(now time.Time, id identifier.UpstreamID) (snapshot Snapshot, ok bool) {
 	ref, ok := p.Lookup(id)
 	if !ok {
-		return Picture{}, false
+		return Snapshot{}, false
 	}
 	return ref.View(now), true
 }
 
-// Ref gives the pictures of one upstream without a search for it. It is valid until the upstream is removed.
+// Ref gives the snapshots of one upstream without a search for it. It is valid until the upstream is removed.
 type Ref struct {
 	record *record
 	pool   *poolRecord
@@ -272,20 +272,20 @@
 	return Ref{r, p.pools[r.pool]}, true
 }
 
-// View returns the picture of the upstream; it is empty for a Ref that Lookup did not find.
-func (f Ref) View(now time.Time) (v Picture) {
+// View returns the snapshot of the upstream; it is empty for a Ref that Lookup did not find.
+func (f Ref) View(now time.Time) (v Snapshot) {
 	f.ViewInto(now, &v)
 	return v
 }
 
-// ViewInto sets a picture as View does, without a copy; a choice among many upstreams reuses one.
-func (f Ref) ViewInto(now time.Time, v *Picture) {
+// ViewInto sets a snapshot as View does, without a copy; a choice among many upstreams reuses one.
+func (f Ref) ViewInto(now time.Time, v *Snapshot) {
 	r, pool := f.record, f.pool
 	if r == nil {
-		*v = Picture{}
+		*v = Snapshot{}
 		return
 	}
-	*v = Picture{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
+	*v = Snapshot{Slots: r.slots(), Own: r.own, Running: r.running, Waiting: r.waiting, FalseStatements: r.contradicted()}
 	if !pool.others.at.IsZero() && r.falseQueues < minFalseQueues {
 		// Without statements the mean counts less and less, too, so that a pool that was full once is tried again.
 		v.Others = pool.others.mean * float64(v.Slots) * decay(float64(now.Sub(pool.others.at))/float64(othersHalfLife))
@@ -330,7 +330,7 @@
 }
 
 // Relative returns the present time per unit of work in relation to the typical one of the pool, or 1 if nothing was observed.
-func (v *Picture) Relative() float64 {
+func (v *Snapshot) Relative() float64 {
 	if v.Typical <= 0 || v.Present <= 0 {
 		return 1
 	}
@@ -339,7 +339,7 @@
 
 // Expected returns the time that an amount of work takes on the upstream once it runs: at its present speed for as long as this
 // is expected to hold, at its long-run speed after that.
-func (v *Picture) Expected(amount float64) time.Duration {
+func (v *Snapshot) Expected(amount float64) time.Duration {
 	if v.Present <= 0 || v.LongRun <= 0 {
 		return time.Duration(amount * float64(v.LongRun))
 	}
--- a/service/profiler/profiler_test.go
+++ b/service/profiler/profiler_test.go
@@ -29,7 +29,7 @@
 	return x
 }
 
-func (x *harness) view(id identifier.UpstreamID) *profiler.Picture {
+func (x *harness) view(id identifier.UpstreamID) *profiler.Snapshot {
 	v, ok := x.p.View(x.now, id)
 	require.True(x.t, ok)
 	return &v
--- a/service/profiler/record.go
+++ b/service/profiler/record.go
@@ -21,7 +21,7 @@
 	roughPriorTime = 250 * time.Millisecond
 	// maxWorkRatio caps a single observation at this multiple of the expected time: a change of weights is not a speed.
 	maxWorkRatio = 6
-	// usualMaxAge is how long an estimate of the long-run speed is used, because it takes longer than the rest of a picture.
+	// usualMaxAge is how long an estimate of the long-run speed is used, because it takes longer than the rest of a snapshot.
 	usualMaxAge = 50 * time.Millisecond
 	// slowRatio is the ratio of the present to the long-run time per work above which an upstream counts as slow.
 	slowRatio = 1.6
@@ -108,7 +108,7 @@
 	// falseQueues counts the attempts in a row that did not wait in the stated queue.
 	falseQueues int
 	// starts holds the start times of the newest own attempts in progress, oldest first. It is last, so that the fields of a
-	// picture are close together in memory.
+	// snapshot are close together in memory.
 	starts [maxStarts]time.Time
 }
 
@@ -245,9 +245,9 @@
 	r.usual.err = speedSpread * math.Sqrt(priorSeconds/(r.longRun.seconds+priorSeconds))
 }
 
-// speeds sets the speeds of a picture. Observed work of the last moments tells the present speed, else a statement that is not
+// speeds sets the speeds of a snapshot. Observed work of the last moments tells the present speed, else a statement that is not
 // older and not contradicted; without both the long-run speed holds.
-func (r *record) speeds(now time.Time, pool *poolRecord, v *Picture) {
+func (r *record) speeds(now time.Time, pool *poolRecord, v *Snapshot) {
 	if r.usual.at.IsZero() || now.Sub(r.usual.at) > usualMaxAge {
 		r.setUsual(now, pool, v.FalseStatements)
 	}
--- a/service/router/cost.go
+++ b/service/router/cost.go
@@ -32,9 +32,9 @@
 	silentRatio = 12
 	// meanWorkWeight is the weight of the newest request in the mean work of a pool.
 	meanWorkWeight = 0.02
-	// pictureMaxAge is how long the picture of an upstream of which nothing was heard is used again. A picture takes longer than
+	// snapshotMaxAge is how long the snapshot of an upstream of which nothing was heard is used again. A snapshot takes longer than
 	// the rest of a choice, and nothing in it changes faster than in 300 ms.
-	pictureMaxAge = 10 * time.Millisecond
+	snapshotMaxAge = 10 * time.Millisecond
 	// usualWork is the expected work of a request of which nothing is known.
 	usualWork = 0.025
 )
@@ -86,15 +86,15 @@
 	var bestCost, bestExpected float64
 	known, contradicted := 0, 0
 	for _, n := range candidates {
-		picture := n.view(now)
-		if picture.Stated || picture.LongRun > 0 && picture.Own > 0 {
+		snapshot := n.view(now)
+		if snapshot.Stated || snapshot.LongRun > 0 && snapshot.Own > 0 {
 			known++
 		}
-		if picture.FalseStatements {
+		if snapshot.FalseStatements {
 			contradicted++
 		}
-		expected, run := n.expectedTime(picture, w.amount, w.mean)
-		if picture.SilentFor > minSilence && picture.SilentFor.Seconds() > silentRatio*run {
+		expected, run := n.expectedTime(snapshot, w.amount, w.mean)
+		if snapshot.SilentFor > minSilence && snapshot.SilentFor.Seconds() > silentRatio*run {
 			continue
 		}
 		if !n.fullUntil.IsZero() && now.Before(n.fullUntil) {
@@ -118,27 +118,27 @@
 	}
 }
 
-// view returns the picture of the upstream.
-func (n *node) view(now time.Time) *profiler.Picture {
-	if !n.viewed || now.Sub(n.viewedAt) > pictureMaxAge {
-		n.profile.ViewInto(now, &n.picture)
+// view returns the snapshot of the upstream.
+func (n *node) view(now time.Time) *profiler.Snapshot {
+	if !n.viewed || now.Sub(n.viewedAt) > snapshotMaxAge {
+		n.profile.ViewInto(now, &n.snapshot)
 		n.viewedAt, n.viewed = now, true
 	}
-	return &n.picture
+	return &n.snapshot
 }
 
 // expectedTime returns the expected seconds until the response, and those of the work alone. The wait is that of Sakasegawa's
 // approximation for a server of several slots, with the expected load as its utilization. Own attempts count in it at their
 // expected work, those of others at the mean work.
-func (n *node) expectedTime(picture *profiler.Picture, amount, mean float64) (expected, run float64) {
+func (n *node) expectedTime(snapshot *profiler.Snapshot, amount, mean float64) (expected, run float64) {
 	run = amount
 	speed := 1.0
-	if picture.LongRun > 0 {
-		run = picture.Expected(amount).Seconds()
+	if snapshot.LongRun > 0 {
+		run = snapshot.Expected(amount).Seconds()
 		speed = run / amount
 	}
-	slots := float64(max(picture.Slots, 1))
-	load := n.ownWork/mean + picture.Others
+	slots := float64(max(snapshot.Slots, 1))
+	load := n.ownWork/mean + snapshot.Others
 	utilization := min(load/slots, maxUtilization)
 	wait := n.waitsFor(slots)[int(utilization*waitSteps)]
 	if excess := load + 1 - slots; excess > 0 {
@@ -223,8 +223,8 @@
 	if !ok {
 		return 1
 	}
-	picture := n.profile.View(now)
-	return picture.Relative()
+	snapshot := n.profile.View(now)
+	return snapshot.Relative()
 }
 
 // ChoosesByCost reports whether upstreams of a pool state their speed, so that they are chosen by cost.
--- a/service/router/node.go
+++ b/service/router/node.go
@@ -49,12 +49,12 @@
 	fullUntil    time.Time
 	avoidedUntil time.Time
 	serving      map[identifier.ModelName]identifier.WeightVersion
-	// profile is the picture of the upstream. preference, from 0 to 1, is its place in this host's own order of the upstreams.
+	// profile is the snapshot of the upstream. preference, from 0 to 1, is its place in this host's own order of the upstreams.
 	profile    profiler.Ref
 	preference float64
 	distance   distance
-	// picture is that of viewedAt; viewed is false if something was heard of the upstream since.
-	picture  profiler.Picture
+	// snapshot is that of viewedAt; viewed is false if something was heard of the upstream since.
+	snapshot profiler.Snapshot
 	viewedAt time.Time
 	viewed   bool
 	// opened is the number of connections that are open, as far as the host knows, and usedAt when the last one was used.
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// profileNode gives a node its picture; an upstream at another address is another process.
+// profileNode gives a node its snapshot; an upstream at another address is another process.
 func (r *Router) profileNode(n *node, upstream connector.Upstream, pool identifier.PoolName) {
 	if n.upstream.Address != upstream.Address {
 		r.cost.profile.Handle(time.Time{}, profiler.Removed{Upstream: upstream.ID})
