review: case 1, a sound request that many callers send is denied everywhere after two engines crash

Cause: the isolator takes a fingerprint that is in flight on two engines which crash at the same moment for proven, although the attempts ran beside nothing but their equals and had begun before the first crash. All hosts then answer 422 for an hour.

--- /dev/null
+++ b/review/1/main.go
@@ -0,0 +1,111 @@
+// Command 1 shows that all hosts refuse a sound request that many callers send, after two engines have crashed at once.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"celerygap.example/review/harness"
+)
+
+const (
+	// enginesPerZone times three is the number of engines of the service; crashing is how many of them crash at the same moment.
+	enginesPerZone, crashing = 5, 2
+	// downTime is for_s: how long the engines are down.
+	downTime = 4500 * time.Millisecond
+	// work is the time that a request takes. Each caller sends one request in each interval.
+	work, interval = 500 * time.Millisecond, 600 * time.Millisecond
+	callers        = 48
+	// calmTime is the time before the crash, watchTime the time after it.
+	calmTime, watchTime = 4 * time.Second, 20 * time.Second
+	// shown is the number of refusals that are shown.
+	shown = 3
+)
+
+var zones = []string{"brasov-a", "sibiu-a", "cluj-a"}
+
+// counts holds what the callers got.
+type counts struct{ total, served, denied atomic.Int64 }
+
+func (n *counts) add(c *harness.Cluster, host *harness.Host, a harness.Answer) {
+	n.total.Add(1)
+	switch {
+	case a.Status == http.StatusOK:
+		n.served.Add(1)
+	case a.Status >= 300 && a.Status < 500 && a.Status != http.StatusRequestTimeout && a.Status != http.StatusMisdirectedRequest && a.Status != http.StatusTooManyRequests:
+		if n.denied.Add(1) <= shown {
+			c.Record.Say("DENIED: %s answers %d without a Server-Stamp: %.160s", host.Name, a.Status, a.Body)
+		}
+	}
+}
+
+func main() {
+	c, err := harness.New(harness.Config{
+		Zones:   []string{"brasov-a", "brasov-a", "brasov-a", "sibiu-a", "sibiu-a", "cluj-a", "cluj-a"},
+		Regions: map[string]string{"brasov-a": "ro-centru", "sibiu-a": "ro-centru", "cluj-a": "ro-nord"},
+		Bounds:  harness.GrownBounds, StaleBy: time.Second,
+	})
+	if err != nil {
+		panic(err)
+	}
+	c.Store.Put("config", "main", harness.Configuration(nil, nil))
+	engines := map[string][]*harness.Engine{}
+	count := 0
+	add := func(zone string) {
+		config := harness.PlainEngine(fmt.Sprintf("i-02d9e6%02x", count), harness.PlainPool, zone)
+		config.Address = c.IP(200+count) + ":0"
+		config.Work = work
+		engine, err := harness.NewEngine(config, c.Store, c.Record)
+		if err != nil {
+			c.Exit(harness.NotRun, "engine: %v", err)
+		}
+		count++
+		engines[zone] = append(engines[zone], engine)
+	}
+	for _, zone := range zones {
+		for range enginesPerZone {
+			add(zone)
+		}
+	}
+	if err := c.Start(); err != nil {
+		c.Exit(harness.NotRun, "start: %v", err)
+	}
+	var n counts
+	var stop atomic.Bool
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			time.Sleep(time.Duration(caller) * interval / callers)
+			for k := 0; !stop.Load(); k++ {
+				host := c.Hosts[(caller+k)%len(c.Hosts)]
+				began := time.Now()
+				n.add(c, host, host.Call(http.MethodGet, harness.BatchHost, "/lohu930/status", "", map[string]string{
+					"Request-Id": fmt.Sprintf("9c41d07be2%02x%04x", caller, k), "Deadline-Ms": "2000",
+				}))
+				time.Sleep(interval - time.Since(began))
+			}
+		})
+	}
+	time.Sleep(calmTime)
+	c.Record.Say("before the crash: %d requests, %d served, %d denied", n.total.Load(), n.served.Load(), n.denied.Load())
+	if c.Trouble {
+		for _, engine := range engines[zones[0]][:crashing] {
+			engine.Crash()
+		}
+		time.Sleep(downTime)
+		for range crashing {
+			add(zones[0])
+		}
+	}
+	time.Sleep(watchTime)
+	stop.Store(true)
+	group.Wait()
+	c.Record.Say("in all: %d requests, %d served, %d denied", n.total.Load(), n.served.Load(), n.denied.Load())
+	if n.denied.Load() > 5+n.total.Load()/500 {
+		c.Exit(harness.Broken, "the rule DENIED was broken: %d of %d requests", n.denied.Load(), n.total.Load())
+	}
+	c.Exit(harness.Held, "the rule held")
+}
