--- a/review/1/main.go
+++ b/review/1/main.go
@@ -18,7 +18,7 @@
 	downTime = 4500 * time.Millisecond
 	// work is the time that a request takes. Each caller sends one request in each interval.
 	work, interval = 500 * time.Millisecond, 600 * time.Millisecond
-	callers        = 48
+	callers        = 64
 	// calmTime is the time before the crash, watchTime the time after it.
 	calmTime, watchTime = 4 * time.Second, 20 * time.Second
 	// shown is the number of refusals that are shown.
