--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,4 @@
-// Command 1 shows that all hosts refuse a sound request that many callers send, once two engines go down at the same time.
+// Command 1 shows that all hosts refuse the sound requests of many callers, once two engines go down at the same time.
 package main
 
 import (
@@ -83,8 +83,10 @@
 			for k := 0; !stop.Load(); k++ {
 				host := c.Hosts[(caller+k)%len(c.Hosts)]
 				began := time.Now()
-				n.add(c, host, host.Call(http.MethodGet, harness.BatchHost, "/lohu930/status", "", map[string]string{
-					"Request-Id": fmt.Sprintf("9c41d07be2%02x%04x", caller, k), "Deadline-Ms": "2000",
+				// No two requests have the same body: each asks for another bin.
+				body := fmt.Sprintf(`{"id":"bin-%d-%d"}`, caller, k)
+				n.add(c, host, host.Call(http.MethodPost, harness.BatchHost, "/lohu930/bins", body, map[string]string{
+					"Request-Id": fmt.Sprintf("9c41d07be2%02x%04x", caller, k), "Deadline-Ms": "2000", "Content-Type": "application/json",
 				}))
 				time.Sleep(interval - time.Since(began))
 			}
--- a/review/harness/batch.go
+++ b/review/harness/batch.go
@@ -111,6 +111,23 @@
 	return page, a
 }
 
+// ReadAll reads the results of a job page by page until a page has none. The answer is the first one that is not a success, or the last.
+func (h *Host) ReadAll(job string) (Page, Answer) {
+	all := Page{}
+	for {
+		page, a := h.Read(job, len(all.Results))
+		if a.Status != http.StatusOK {
+			return all, a
+		}
+		all.Total = page.Total
+		all.Results = append(all.Results, page.Results...)
+		all.Next = len(all.Results)
+		if len(page.Results) == 0 || len(all.Results) >= page.Total {
+			return all, a
+		}
+	}
+}
+
 // End ends a job.
 func (h *Host) End(job string) Answer {
 	return h.Call(http.MethodDelete, BatchHost, "/api/lots/"+job, "", nil)
