review: case 5 with one batch job at a time

Cause: a single submission within the limits takes a host above its memory, so concurrent large requests are not needed.

--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,10 +1,9 @@
-// Command 5 shows that callers whose requests keep to the limits make hosts use more memory than they have.
+// Command 5 shows that batch jobs which keep to the limits make hosts use more memory than they have.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,13 +13,12 @@
 )
 
 const (
-	memory    = 284 << 20
-	bodyBytes = 20 << 20
-	smallBody = 600
-	callers   = 32
-	interval  = 3 * time.Second
-	work      = 300 * time.Millisecond
-	watchTime = 40 * time.Second
+	memory = 284 << 20
+	// items is the number of samples of a step; each has a body of itemBytes, or smallBytes without the trouble.
+	items, itemBytes, smallBytes = 2048, 11 << 10, 600
+	// steps is the number of steps, one in stepTime. A job without an answer is sent again at another host, tries times at most.
+	steps, tries = 10, 3
+	stepTime     = 4 * time.Second
 	// sampling is how often the platform looks at the memory of a process.
 	sampling = 20 * time.Millisecond
 	// endsOfMachine and machinesAtLeast are those of the rule.
@@ -36,10 +34,13 @@
 		panic(err)
 	}
 	c.Store.Put("config", "main", harness.Configuration(nil, nil))
-	for i, zone := range []string{"brasov-a", "sibiu-a", "cluj-a"} {
-		config := harness.PlainEngine(fmt.Sprintf("i-02d9e6%02x", i), harness.PlainPool, zone)
+	plain := harness.PlainEngine("i-02d9e6b4", harness.PlainPool, "brasov-a")
+	model := harness.EngineConfig{
+		ID: "i-7f3a91c2", Service: harness.ModelPool, Zone: "brasov-a", Models: map[string]int64{harness.ModelName: 1}, Slots: 8, Queue: 24,
+		Events: 10, Interval: 20 * time.Millisecond,
+	}
+	for i, config := range []harness.EngineConfig{plain, model} {
 		config.Address = c.IP(200+i) + ":0"
-		config.Work = work
 		if _, err := harness.NewEngine(config, c.Store, c.Record); err != nil {
 			c.Exit(harness.NotRun, "engine: %v", err)
 		}
@@ -68,26 +69,29 @@
 			}
 		})
 	}
-	size := bodyBytes
+	size := itemBytes
 	if !c.Trouble {
-		size = smallBody
+		size = smallBytes
 	}
-	body := strings.Repeat("x", size)
-	var clients sync.WaitGroup
-	for caller := range callers {
-		clients.Go(func() {
-			for n := 0; !stop.Load(); n++ {
-				began := time.Now()
-				c.Hosts[(caller+n)%len(c.Hosts)].Call(http.MethodPost, harness.BatchHost, "/lohu930/photo", body, map[string]string{
-					"Request-Id": fmt.Sprintf("9c41d07be2%02x%04x", caller, n), "Deadline-Ms": "2000",
-				})
-				time.Sleep(interval - time.Since(began))
+	accepted := 0
+	for step := range steps {
+		began := time.Now()
+		job := fmt.Sprintf("7c41e09b52d6%04x", step)
+		samples := harness.Items(job, 0, items, "5c", "5e07")
+		for _, sample := range samples {
+			sample["body"] = make([]byte, size)
+		}
+		for try := range tries {
+			if a := c.Hosts[(step+try)%len(c.Hosts)].SubmitItems(job, step, samples); a.Status == http.StatusAccepted {
+				accepted++
+				break
 			}
-		})
+		}
+		c.Hosts[(step+1)%len(c.Hosts)].End(job)
+		time.Sleep(stepTime - time.Since(began))
 	}
-	time.Sleep(watchTime)
+	c.Record.Say("%d of %d jobs were accepted", accepted, steps)
 	stop.Store(true)
-	clients.Wait()
 	platform.Wait()
 	machines := 0
 	for i, host := range c.Hosts {
