--- a/review/5/main.go
+++ b/review/5/main.go
@@ -16,7 +16,8 @@
 	memory = 284 << 20
 	// items is the number of samples of a step; each has a body of itemBytes, or smallBytes without the trouble.
 	items, itemBytes, smallBytes = 2048, 11 << 10, 600
-	// steps is the number of steps, one in stepTime. A job without an answer is sent again at another host, tries times at most.
+	// steps is the number of steps of a trainer, one in stepTime. A job without an answer is sent again at another host, tries times
+	// at most.
 	steps, tries = 10, 3
 	stepTime     = 4 * time.Second
 	// sampling is how often the platform looks at the memory of a process.
@@ -25,6 +26,9 @@
 	endsOfMachine, machinesAtLeast = 3, 2
 )
 
+// models are those of the three trainers, as on the sheet.
+var models = []string{"daka510000", "rada7437b5", "ravo486f6a"}
+
 func main() {
 	c, err := harness.New(harness.Config{
 		Zones:   []string{"brasov-a", "brasov-a", "sibiu-a", "cluj-a"},
@@ -33,10 +37,19 @@
 	if err != nil {
 		panic(err)
 	}
-	c.Store.Put("config", "main", harness.Configuration(nil, nil))
+	configuration := harness.Configuration(nil, nil)
+	services, _ := configuration["services"].([]map[string]any)
+	traits, _ := services[0]["engine"].(map[string]any)
+	named, versions := []map[string]any{}, map[string]int64{}
+	for _, model := range models {
+		named = append(named, map[string]any{"name": model})
+		versions[model] = 1
+	}
+	traits["models"] = named
+	c.Store.Put("config", "main", configuration)
 	plain := harness.PlainEngine("i-02d9e6b4", harness.PlainPool, "brasov-a")
 	model := harness.EngineConfig{
-		ID: "i-7f3a91c2", Service: harness.ModelPool, Zone: "brasov-a", Models: map[string]int64{harness.ModelName: 1}, Slots: 8, Queue: 24,
+		ID: "i-7f3a91c2", Service: harness.ModelPool, Zone: "brasov-a", Models: versions, Slots: 8, Queue: 24,
 		Events: 10, Interval: 20 * time.Millisecond,
 	}
 	for i, config := range []harness.EngineConfig{plain, model} {
@@ -73,24 +86,31 @@
 	if !c.Trouble {
 		size = smallBytes
 	}
-	accepted := 0
-	for step := range steps {
-		began := time.Now()
-		job := fmt.Sprintf("7c41e09b52d6%04x", step)
-		samples := harness.Items(job, 0, items, "5c", "5e07")
-		for _, sample := range samples {
-			sample["body"] = make([]byte, size)
-		}
-		for try := range tries {
-			if a := c.Hosts[(step+try)%len(c.Hosts)].SubmitItems(job, step, samples); a.Status == http.StatusAccepted {
-				accepted++
-				break
+	body := make([]byte, size)
+	var accepted atomic.Int64
+	var trainers sync.WaitGroup
+	for n, model := range models {
+		trainers.Go(func() {
+			for step := range steps {
+				began := time.Now()
+				job := fmt.Sprintf("7c41e09b52%02x%04x", n, step)
+				samples := harness.ItemsOf(model, job, 0, items, "5c", "5e07")
+				for _, sample := range samples {
+					sample["body"] = body
+				}
+				for try := range tries {
+					if c.Hosts[(n+step+try)%len(c.Hosts)].SubmitItemsOf(model, job, step, samples).Status == http.StatusAccepted {
+						accepted.Add(1)
+						break
+					}
+				}
+				c.Hosts[(n+step+1)%len(c.Hosts)].End(job)
+				time.Sleep(stepTime - time.Since(began))
 			}
-		}
-		c.Hosts[(step+1)%len(c.Hosts)].End(job)
-		time.Sleep(stepTime - time.Since(began))
+		})
 	}
-	c.Record.Say("%d of %d jobs were accepted", accepted, steps)
+	trainers.Wait()
+	c.Record.Say("%d of %d jobs were accepted", accepted.Load(), steps*len(models))
 	stop.Store(true)
 	platform.Wait()
 	machines := 0
--- a/review/harness/batch.go
+++ b/review/harness/batch.go
@@ -56,11 +56,16 @@
 // Items returns items whose ids begin with the id of a job, from number from to before number to. The ids of their reward calls are
 // those of the items after a prefix, and the calls go to a path below the route for reward calls.
 func Items(job string, from, to int, scorerPrefix, scorerPath string) []map[string]any {
+	return ItemsOf(ModelName, job, from, to, scorerPrefix, scorerPath)
+}
+
+// ItemsOf returns such items of a model.
+func ItemsOf(model, job string, from, to int, scorerPrefix, scorerPath string) []map[string]any {
 	var list []map[string]any
 	for i := from; i < to; i++ {
 		list = append(list, map[string]any{
 			"id": ItemID(job, i), "path": fmt.Sprintf("%s3/%s", batchPrefix, ItemID(job, i)), "body": []byte(ItemID(job, i)), "tokens": 940,
-			"headers": map[string]string{"Model": ModelName, "Token-Count": "540,400", "Prompt-Prefix": "9c2e41:300,5d07b8:240"},
+			"headers": map[string]string{"Model": model, "Token-Count": "540,400", "Prompt-Prefix": "9c2e41:300,5d07b8:240"},
 			"group":   fmt.Sprintf("g%s%d", job, i/GroupSize),
 			"scorer":  map[string]any{"id": scorerPrefix + ItemID(job, i), "host": BatchHost, "path": scorePrefix + scorerPath, "body": []byte("x")},
 		})
@@ -69,8 +74,8 @@
 }
 
 // Submission returns the body that submits items as a step.
-func Submission(step int, items []map[string]any) string {
-	text, err := json.Marshal(map[string]any{"step": step, "model": ModelName, "min_version": 1, "desired": len(items) / GroupSize, "items": items})
+func Submission(model string, step int, items []map[string]any) string {
+	text, err := json.Marshal(map[string]any{"step": step, "model": model, "min_version": 1, "desired": len(items) / GroupSize, "items": items})
 	if err != nil {
 		panic(err)
 	}
@@ -87,7 +92,12 @@
 
 // SubmitItems submits a batch job with the given items.
 func (h *Host) SubmitItems(job string, step int, items []map[string]any) Answer {
-	return h.Call(http.MethodPost, BatchHost, batchPrefix+job, Submission(step, items), map[string]string{
+	return h.SubmitItemsOf(ModelName, job, step, items)
+}
+
+// SubmitItemsOf submits a batch job of a model with the given items.
+func (h *Host) SubmitItemsOf(model, job string, step int, items []map[string]any) Answer {
+	return h.Call(http.MethodPost, BatchHost, batchPrefix+job, Submission(model, step, items), map[string]string{
 		"Request-Id": job, "Content-Type": "application/json",
 	})
 }
