--- a/review/4/main.go
+++ b/review/4/main.go
@@ -17,12 +17,12 @@
 const (
 	// cancelTime is cancel_ms of the settings.
 	cancelTime = 3 * time.Second
-	jobs       = 2
+	jobs       = 3
 	items      = 96
 	// staleBy is how old the data of the store's lists with allow_stale is.
 	staleBy = 2 * time.Second
 	// endDelay is the time from the planned stop until the first end; further ones follow after endInterval.
-	endDelay, endInterval = 2500 * time.Millisecond, 800 * time.Millisecond
+	endDelay, endInterval = 2 * time.Second, time.Second
 	// watchTime is how long the engines are watched after the last end.
 	watchTime = 9 * time.Second
 )
