batcher: the end of a job reaches whoever may start work on it

Cause: a host that takes an end asks the owner that it knows and otherwise writes the end to the store. Nobody told the owner that the store names by then, which found the end in a review of stale lists every 3 s, and ignored it where that review read the current head.

A job ended through the new owner stops at once.

Change: the writer of an end sends the written head to the owner that it names before it acknowledges, and repeats that for 15 s without a confirmation. The write is conditional, so no host becomes the owner after it. Related paths: a host that is taking the job over reads the head last and notes ends meanwhile; a host that was paused starts nothing before it has compared its jobs with the store or with the directory hosts; a review honours the end in a head that it reads; reward calls end with their job; owners read current lists for 10 s after a change of the live members.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -609,10 +609,23 @@
 // EditStatus defines model for EditStatus.
 type EditStatus string
 
-// EndBatch defines model for EndBatch.
+// EndBatch Requests the end of a job from its owner. With a head, which has object version version, the store holds the end already, and the receiver only has to stop.
 type EndBatch struct {
-	From HostID  `json:"from"`
-	Job  BatchID `json:"job"`
+	From HostID `json:"from"`
+
+	// Head Value of the store object batchheads/<job>; it exists once the complete job is stored.
+	Head    *BatchHead `json:"head,omitempty"`
+	Job     BatchID    `json:"job"`
+	Version int64      `json:"version,omitempty"`
+}
+
+// EndReply defines model for EndReply.
+type EndReply struct {
+	// Noted The responding host did not hold the job and starts nothing of it if it opens it.
+	Noted bool `json:"noted,omitempty"`
+
+	// Owner The responding host held the job and has ended it.
+	Owner bool `json:"owner"`
 }
 
 // EngineChunk One event of an engine's stream; the last one has a finish_reason and total_tokens.
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -48,19 +48,12 @@
 	}
 }
 
-// endReviewDue records that the jobs have been compared with a current list, unless another pause requires a further review.
-func (d *Driver) endReviewDue() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.reviewDue = d.currentListNeeded.Load()
-}
-
 func (d *Driver) settled() bool { return d.config.Settled == nil || d.config.Settled() }
 
 // reviewLoop first resumes the jobs of an earlier process of this host and then reviews all jobs on request: it has those
 // adopted whose owner is gone and drops jobs that another host has taken over. A review after a pause of this process reads a
-// current list, since other hosts may have acted meanwhile. Other reviews read a stale list, which costs a tenth of a current
-// one.
+// current list, since other hosts may have acted meanwhile, and so do some after a change of the live members. Other reviews read a
+// stale list, which costs a tenth of a current one.
 func (d *Driver) reviewLoop(ctx context.Context) {
 	d.resumeFormerJobs(ctx)
 	for {
@@ -68,15 +61,16 @@
 		case <-ctx.Done():
 			return
 		case <-d.reviews:
-			currentListNeeded := d.currentListNeeded.Swap(false)
-			orphans, err := d.review(ctx, !currentListNeeded)
+			afterPause := d.currentListNeeded.Swap(false)
+			orphans, err := d.review(ctx, afterPause || d.ownershipInDoubt())
 			switch {
 			case err != nil:
 				d.config.Log.Warn(logger.JobsNotReviewed).Err(err).Send()
-				if currentListNeeded {
+				if afterPause {
 					d.currentListNeeded.Store(true)
+					d.releaseStartsByPeers(ctx)
 				}
-			case currentListNeeded:
+			case afterPause:
 				d.endReviewDue()
 			}
 			if err != nil || orphans {
@@ -156,12 +150,23 @@
 	return codec.OwnedReply{Jobs: openJobsOf(heads, request.Owner)}, nil
 }
 
-// review reports whether there are jobs whose owner is gone and that no host has adopted yet.
-func (d *Driver) review(ctx context.Context, stale bool) (orphans bool, err error) {
-	heads, err := d.config.Keeper.Heads(ctx, stale)
+// review compares the jobs that this host owns with the list of all jobs, stale or current, and then looks for others that it has
+// to act on. It reports whether there are jobs whose owner is gone and that no host has adopted yet.
+func (d *Driver) review(ctx context.Context, current bool) (orphans bool, err error) {
+	heads, err := d.config.Keeper.Heads(ctx, !current)
 	if err != nil {
 		return false, err
 	}
+	for _, head := range heads {
+		if d.isOwned(head.ID) {
+			if err := d.checkOwned(ctx, head); err != nil {
+				return false, err
+			}
+		}
+	}
+	if current {
+		d.releaseStarts()
+	}
 	reviewing := d.reviewer().ID == d.config.Self.ID
 	for _, head := range heads {
 		if ctx.Err() != nil || d.isDraining() {
@@ -174,11 +179,6 @@
 		if reviewing && !head.Ended {
 			orphans = d.checkOwner(head) || orphans
 		}
-		if d.isOwned(head.ID) {
-			if err := d.checkOwned(ctx, head); err != nil {
-				return orphans, err
-			}
-		}
 	}
 	return orphans, nil
 }
@@ -249,21 +249,17 @@
 }
 
 // checkOwned compares a job that this host owns with its stored head: another host may have ended the job, or may have
-// taken it over while this one was unreachable.
+// taken it over while this one was unreachable. An end is final, so a head that holds it need not be current.
 func (d *Driver) checkOwned(ctx context.Context, head batchkeeper.Head) error {
-	if d.owns(head) {
-		if head.Ended {
-			d.handle(JobEnded{Job: head.ID})
+	if !d.owns(head) {
+		current, err := d.config.Keeper.Head(ctx, head.ID)
+		if err != nil {
+			return err
 		}
-		return nil
+		head = current
 	}
-	current, err := d.config.Keeper.Head(ctx, head.ID)
-	if err != nil {
-		return err
-	}
-	if !d.owns(current) {
-		d.config.Log.Warn(logger.JobLost).Str("request", string(head.ID)).Str("owner", string(current.Owner)).Send()
-		d.drop(head.ID, current)
+	if head.Ended || !d.owns(head) {
+		d.noteHead(head, endSourceReview)
 	}
 	return nil
 }
@@ -353,6 +349,12 @@
 	if initial.saved, initial.textChunks, err = d.config.Keeper.Texts(ctx, id); err != nil {
 		return err
 	}
+	// The job may have been ended or taken over during these reads.
+	current, err := d.config.Keeper.Head(ctx, id)
+	if err != nil {
+		return err
+	}
+	d.cacheHead(current)
 	d.config.Log.Info(logger.JobAdopted).Str("request", string(id)).Str("former", string(former)).Int("results", len(initial.results)).Send()
 	d.open(head, job, initial)
 	return nil
--- a/service/batcher/append.go
+++ b/service/batcher/append.go
@@ -31,7 +31,7 @@
 			d.mu.Lock()
 			h.chunks++
 			h.appendingSince = time.Time{}
-			d.execute(d.machine.Handle(time.Now(), Appended{Job: c.Job}))
+			d.apply(time.Now(), Appended{Job: c.Job})
 			d.mu.Unlock()
 			d.config.Log.Info(logger.ResultsListed).Str("job", string(c.Job)).Int("chunk", number).Int("results", len(c.Results)).Send()
 			return
@@ -60,7 +60,7 @@
 		if err == nil {
 			d.mu.Lock()
 			h.textChunks = number + 1
-			d.execute(d.machine.Handle(time.Now(), TextsSaved{Job: c.Job}))
+			d.apply(time.Now(), TextsSaved{Job: c.Job})
 			d.mu.Unlock()
 			return
 		}
@@ -99,7 +99,7 @@
 		h.head = head
 		h.chunks = chunks
 		h.appendingSince = time.Time{}
-		d.execute(d.machine.Handle(time.Now(), AppendConflict{Job: id, Results: results}))
+		d.apply(time.Now(), AppendConflict{Job: id, Results: results})
 		d.mu.Unlock()
 		return
 	}
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -50,6 +50,8 @@
 	// stating holds the pools whose engines state how long work takes on them.
 	stating    map[identifier.PoolName]struct{}
 	completion *completion
+	// startsHeld is set while no runs and reward calls may start.
+	startsHeld bool
 	commands   []Command
 }
 
@@ -132,6 +134,11 @@
 		b.stopSaving(e.Job)
 	case AppendConflict:
 		b.replaceResults(e)
+	case StartsHeld:
+		b.startsHeld = true
+		return nil
+	case StartsReleased:
+		b.startsHeld = false
 	case Tick:
 		b.tick(now)
 	}
@@ -223,6 +230,7 @@
 		delete(b.promptEngines, groupKey{id, it.spec.Group})
 		delete(b.completion.groupEngines, groupKey{id, it.spec.Group})
 	}
+	b.emit(StopRewards{Job: id})
 	b.emit(NotifyReaders{Job: id})
 }
 
--- a/service/batcher/cluster_test.go
+++ b/service/batcher/cluster_test.go
@@ -1,6 +1,7 @@
 package batcher_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -124,6 +125,8 @@
 	stop func()
 	// stopTicks makes the host behave like one that has just woken up from a pause, as soon as the pause is long enough.
 	stopTicks func()
+	// pauseTicks does the same and lets the ticks go on after a time.
+	pauseTicks func(time.Duration)
 }
 
 // cluster is several hosts with one store and one runner.
@@ -132,8 +135,13 @@
 	network *network
 	store   *storekeeper.Store
 	// counter, if set, replaces the store for the hosts that are added.
-	counter         *readCounter
-	held            *heldStore
+	counter *readCounter
+	held    *heldStore
+	// replacement, if set, replaces the store as well.
+	replacement connector.ObjectStore
+	// reviewInterval overrides the interval between reviews, and rewards the client for reward calls.
+	reviewInterval  time.Duration
+	rewards         connector.PlainCaller
 	run             *runner
 	lastIncarnation int64
 }
@@ -156,11 +164,16 @@
 	if c.held != nil {
 		store = c.held
 	}
+	if c.replacement != nil {
+		store = c.replacement
+	}
 	d := batcher.NewDriver(batcher.DriverConfig{
 		Self: p.Self(), Incarnation: identifier.Incarnation(c.lastIncarnation), Keeper: batchkeeper.New(store), Runner: c.run,
 		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
 		Catalogue: cataloguer.New(cataloguer.Config{}), Upstreams: noUpstreams{}, Members: p, Peers: p, Timer: service,
-		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: 100 * time.Millisecond,
+		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: cmp.Or(c.reviewInterval, 100*time.Millisecond),
+		Rewards: c.rewards, MakeReward: func(codec.RewardCall) connector.PlainRequest { return connector.PlainRequest{} },
+		Score: func(connector.PlainResponse) string { return "" },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	group := grouper.NewGroup(-1)
@@ -171,7 +184,14 @@
 	delete(c.network.down, id)
 	c.network.mu.Unlock()
 	d.EnginesChanged(map[identifier.PoolName][]codec.ListedHost{pool: {engine("e", 2, 64)}})
-	h := &host{Driver: d, id: id, stopTicks: stopTicks, stop: func() {
+	pauseTicks := func(pause time.Duration) {
+		stopTicks()
+		group.Go(func() {
+			time.Sleep(pause)
+			_ = service.Run(ctx)
+		})
+	}
+	h := &host{Driver: d, id: id, stopTicks: stopTicks, pauseTicks: pauseTicks, stop: func() {
 		c.network.mu.Lock()
 		c.network.down[id] = true
 		c.network.mu.Unlock()
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -99,12 +99,18 @@
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
 	draining bool
+	// forwarding holds the jobs whose ends are being forwarded to their owners.
+	forwarding map[identifier.BatchID]struct{}
 	// lastTick is the time of the last tick, which shows whether this process was paused. reviewDue is set from a pause until
-	// the jobs have been compared with a current list.
-	lastTick  time.Time
-	reviewDue bool
-	base      context.Context
-	cancel    context.CancelFunc
+	// the jobs have been compared with a current list; startsHeld is set from a pause until it is known which of them may go on.
+	lastTick   time.Time
+	reviewDue  bool
+	startsHeld bool
+	// membersChangedAt is when the live members changed last, and currentListAt when a current list was read last.
+	membersChangedAt time.Time
+	currentListAt    time.Time
+	base             context.Context
+	cancel           context.CancelFunc
 }
 
 // ownedJob is the driver's state of a job that this host owns.
@@ -119,6 +125,9 @@
 	appendingSince time.Time
 	// changed is closed and replaced whenever the list of results changes or the job ends.
 	changed chan struct{}
+	// rewards is the context of the job's reward calls, which stopRewards ends.
+	rewards     context.Context
+	stopRewards context.CancelFunc
 	// appending is locked during a write of results, so that there is at most one at a time.
 	appending sync.Mutex
 }
@@ -134,8 +143,9 @@
 		config: config, work: grouper.NewGroup(-1), reviews: make(chan struct{}, 1), machine: New(Config{Pacer: config.Pacer}),
 		owned: make(map[identifier.BatchID]*ownedJob), stops: make(map[RunID]context.CancelCauseFunc),
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
-		customers: make(map[identifier.BatchID]identifier.CustomerName),
-		adopting:  make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
+		customers:  make(map[identifier.BatchID]identifier.CustomerName),
+		forwarding: make(map[identifier.BatchID]struct{}),
+		adopting:   make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
 		base: base, cancel: cancel, startedAt: time.Now(),
 	}
 	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
@@ -181,15 +191,13 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticks:
-			if d.tick(now) {
-				d.currentListNeeded.Store(true)
-				d.requestReview()
-			}
+			d.tick(now)
 		case <-catalogues:
 			d.applyRoutes()
 		case <-reviews:
 			d.requestReviewByDuty()
 		case <-d.config.MembersChanged:
+			d.noteMembersChanged()
 			d.requestReviewByDuty()
 		}
 	}
@@ -201,24 +209,28 @@
 	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
 }
 
-// tick sends a Tick only while this host owns jobs, so that an idle host does not run the state machine 20 times a second. It
-// reports whether this process was paused since the last tick.
-func (d *Driver) tick(now time.Time) (paused bool) {
+// tick sends a Tick only while this host owns jobs, so that an idle host does not run the state machine 20 times a second.
+func (d *Driver) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	paused = !d.lastTick.IsZero() && pauseBetween(d.lastTick, now) > freezeThreshold
+	d.holdAfterPause(now)
 	d.lastTick = now
-	d.reviewDue = d.reviewDue || paused
 	if len(d.owned) > 0 {
-		d.execute(d.machine.Handle(time.Now(), Tick{}))
+		d.apply(time.Now(), Tick{})
 	}
-	return paused
+}
+
+// apply sends an event to the state machine and executes its commands; d.mu must be held. Events can come before the first tick
+// after a pause.
+func (d *Driver) apply(now time.Time, event Event) {
+	d.holdAfterPause(now)
+	d.execute(d.machine.Handle(now, event))
 }
 
 func (d *Driver) applyRoutes() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.execute(d.machine.Handle(time.Now(), d.routes()))
+	d.apply(time.Now(), d.routes())
 }
 
 // routes returns the entry in effect for each job that this host owns; d.mu must be held.
@@ -241,7 +253,7 @@
 func (d *Driver) handle(event Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.execute(d.machine.Handle(time.Now(), event))
+	d.apply(time.Now(), event)
 }
 
 // execute starts the work of each command. d.mu must be held, so nothing here may block.
@@ -258,7 +270,13 @@
 			}
 			d.config.Log.Info(logger.ItemRunStopped).Uint64("run", uint64(c.Run)).Str("reason", string(c.Reason)).Send()
 		case StartReward:
-			d.work.Go(func() { d.reward(c) })
+			if h, ok := d.owned[c.Job]; ok {
+				d.work.Go(func() { d.reward(h.rewards, c) })
+			}
+		case StopRewards:
+			if h, ok := d.owned[c.Job]; ok {
+				h.stopRewards()
+			}
 		case Append:
 			if h, ok := d.owned[c.Job]; ok {
 				d.work.Go(func() { d.appendResults(h, c) })
@@ -295,7 +313,7 @@
 	events := 0
 	var longest time.Duration
 	last := started
-	err := d.config.Runner.Run(ctx, connector.ItemRun{
+	request := connector.ItemRun{
 		Upstream: upstream, Item: c.Item, Host: c.Host, After: c.After,
 		Customer: c.Customer, KeysRequired: d.config.Catalogue.Current().KeysRequired, Priority: c.Priority,
 		OnEvent: func(event connector.RunEvent) error {
@@ -306,13 +324,18 @@
 			d.handle(EventReceived{Run: c.Run, Event: event})
 			return ctx.Err()
 		},
-	})
+	}
+	// The run may have been stopped before it began.
+	err := context.Cause(ctx)
+	if err == nil {
+		err = d.config.Runner.Run(ctx, request)
+	}
 	d.mu.Lock()
 	if stop, ok := d.stops[c.Run]; ok {
 		stop(nil)
 		delete(d.stops, c.Run)
 	}
-	d.execute(d.machine.Handle(time.Now(), RunEnded{Run: c.Run, Err: err}))
+	d.apply(time.Now(), RunEnded{Run: c.Run, Err: err})
 	d.mu.Unlock()
 	d.logRun(c, runStats{duration: time.Since(started), events: events, longestInterval: longest}, err)
 	if evidence := evidenceOf(err); evidence != "" {
@@ -358,8 +381,9 @@
 	}
 }
 
-// reward sends one reward call, with the retries that the route of the plain service allows, and handles its outcome.
-func (d *Driver) reward(c StartReward) {
+// reward sends one reward call, with the retries that the route of the plain service allows, and handles its outcome. No further
+// attempt is sent after the end of ctx.
+func (d *Driver) reward(ctx context.Context, c StartReward) {
 	event := RewardEnded{Job: c.Job, Item: c.Item}
 	entry, ok := d.config.Match(c.Call.Host, c.Call.Path)
 	if ok {
@@ -370,18 +394,18 @@
 		request := d.config.MakeReward(c.Call)
 		request.Entry = entry.Name
 		request.Sound = true
-		response, err := d.config.Rewards.Call(d.base, request)
+		response, err := d.config.Rewards.Call(ctx, request)
 		event.Failures = response.Failures
 		if err == nil {
 			event.Score = d.config.Score(response)
 		}
 	}
 	line := d.config.Log.Info(logger.RewardEnded)
-	if event.Score == "" {
+	if event.Score == "" && ctx.Err() == nil {
 		line = d.config.Log.Warn(logger.RewardEnded)
 	}
 	line.Str("request", c.Call.ID).Str("job", string(c.Job)).Str("item", string(c.Item)).Bool("routed", ok).
-		Int("failures", event.Failures).Bool("scored", event.Score != "").Send()
+		Int("failures", event.Failures).Bool("scored", event.Score != "").Bool("stopped", ctx.Err() != nil).Send()
 	d.handle(event)
 }
 
@@ -408,7 +432,7 @@
 	if !ok {
 		return
 	}
-	d.execute(d.machine.Handle(time.Now(), JobDropped{Job: id}))
+	d.apply(time.Now(), JobDropped{Job: id})
 	close(h.changed)
 	h.changed = make(chan struct{})
 	delete(d.owned, id)
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -88,6 +88,12 @@
 	Results []codec.BatchResult
 }
 
+// StartsHeld makes the state machine start no runs and reward calls until StartsReleased.
+type StartsHeld struct{}
+
+// StartsReleased ends StartsHeld.
+type StartsReleased struct{}
+
 // Tick lets time-based rules run: expiry of jobs, detection of stalled and slow runs, and saving of texts.
 type Tick struct{}
 
@@ -104,6 +110,8 @@
 func (AppendConflict) isEvent() {}
 func (TextsSaved) isEvent()     {}
 func (SaveConflict) isEvent()   {}
+func (StartsHeld) isEvent()     {}
+func (StartsReleased) isEvent() {}
 func (Tick) isEvent()           {}
 
 // Command is an output of the state machine.
@@ -137,6 +145,9 @@
 	Call codec.RewardCall
 }
 
+// StopRewards cancels the reward calls of a job in progress and their retries.
+type StopRewards struct{ Job identifier.BatchID }
+
 // Append writes results to the end of the list in the store. A job has at most one Append in progress.
 type Append struct {
 	Job     identifier.BatchID
@@ -164,6 +175,7 @@
 func (StartRun) isCommand()      {}
 func (StopRun) isCommand()       {}
 func (StartReward) isCommand()   {}
+func (StopRewards) isCommand()   {}
 func (Append) isCommand()        {}
 func (NotifyReaders) isCommand() {}
 func (SaveTexts) isCommand()     {}
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -13,6 +13,9 @@
 // turns. Within a job the longest texts start first: a long text that starts
 // late delays its group, and more engines would not make it faster.
 func (b *Batcher) schedule(now time.Time) {
+	if b.startsHeld {
+		return
+	}
 	clear(b.withoutTurn)
 	if b.completion.profile.StatesAny(now) {
 		b.beginPass(now)
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"celerygap.example/lib/annotator"
@@ -115,21 +114,36 @@
 	progress   []codec.ItemProgress
 }
 
-// open starts or resumes a job that this host owns.
+// open starts or resumes a job that this host owns. Another host may have ended or taken over the job since head was read; open
+// uses the newer head if one is known.
 func (d *Driver) open(head batchkeeper.Head, job codec.BatchJob, initial initialState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.owned[head.ID]; ok {
 		return
 	}
-	d.owned[head.ID] = &ownedJob{head: head, job: job, chunks: initial.chunks, textChunks: initial.textChunks, changed: make(chan struct{})}
+	if known, ok := d.headCache[head.ID]; ok && known.Version > head.Version {
+		if !d.owns(known) {
+			d.config.Log.Warn(logger.JobLost).Str("request", string(head.ID)).Str("owner", string(known.Owner)).Send()
+			return
+		}
+		head.Version, head.Ended = known.Version, known.Ended
+	}
+	owned := &ownedJob{head: head, job: job, chunks: initial.chunks, textChunks: initial.textChunks, changed: make(chan struct{})}
+	owned.rewards, owned.stopRewards = context.WithCancel(d.base)
+	d.owned[head.ID] = owned
 	delete(d.headCache, head.ID)
 	delete(d.chains, head.ID)
 	now := time.Now()
-	d.execute(d.machine.Handle(now, JobOpened{
+	d.apply(now, JobOpened{
 		Job: job, SubmittedAt: head.SubmittedAt, Results: initial.results, Progress: initial.progress, Saved: initial.saved,
-	}))
-	d.execute(d.machine.Handle(now, d.routes()))
+	})
+	if head.Ended {
+		// Its items never run, but later jobs may reuse their texts.
+		d.config.Log.Info(logger.JobEndReceived).Str("request", string(head.ID)).Str("source", string(endSourceAdoption)).Send()
+		d.apply(now, JobEnded{Job: head.ID})
+	}
+	d.apply(now, d.routes())
 	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(initial.results)).
 		Int("saved", len(initial.saved)).Int("progress", len(initial.progress)).Time("submitted_at", head.SubmittedAt).Send()
@@ -154,10 +168,7 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode batch owner", "peer", err)
 	}
-	head := batchkeeper.Head{BatchHead: request.Head, ID: request.Job, Version: request.Version}
-	if !d.isOwned(head.ID) {
-		d.cacheHead(head)
-	}
+	d.noteHead(batchkeeper.Head{BatchHead: request.Head, ID: request.Job, Version: request.Version}, endSourceOwnerCall)
 	return struct{}{}, nil
 }
 
@@ -208,134 +219,3 @@
 		CustomerChecked: true,
 	}, nil
 }
-
-// End marks a job as ended in the store and stops its runs. It returns nil if the job has ended before. An error that is not
-// connector.ErrOutcomeUnknown means that the job was left as it was.
-func (d *Driver) End(ctx context.Context, id identifier.BatchID) error {
-	head, owned, err := d.ownerOf(ctx, id)
-	if errors.Is(err, connector.ErrNotFound) {
-		return err
-	}
-	if err != nil {
-		return fmt.Errorf("%w: %w", connector.ErrUnavailable, hideOutcomeUnknown(err))
-	}
-	if owned {
-		return d.endOwned(ctx, id)
-	}
-	asked := false
-	if member, ok := d.liveMember(head.Owner); ok && member.ID != d.config.Self.ID {
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		defer cancel()
-		var reply codec.ReadReply
-		err := d.config.Peers.Call(callCtx, member, methodEnd, codec.EndBatch{From: d.config.Self.ID, Job: id}, &reply)
-		if err == nil && reply.Owner {
-			return nil
-		}
-		// Without a reply the owner may have stopped the runs.
-		asked = err != nil
-	}
-	err = d.markEnded(ctx, id)
-	if err != nil && asked {
-		err = errors.Join(connector.ErrOutcomeUnknown, err)
-	}
-	return err
-}
-
-// hideOutcomeUnknown returns an error with the same text that no longer wraps connector.ErrOutcomeUnknown: a read without a
-// response has changed nothing.
-func hideOutcomeUnknown(err error) error { return errors.New(err.Error()) }
-
-// endOwned stops the runs immediately and then writes the end to the store; it returns nil only after the store holds it.
-func (d *Driver) endOwned(ctx context.Context, id identifier.BatchID) error {
-	d.handle(JobEnded{Job: id})
-	if err := d.markEnded(ctx, id); err != nil {
-		return errors.Join(connector.ErrOutcomeUnknown, err)
-	}
-	return nil
-}
-
-func (d *Driver) markEnded(ctx context.Context, id identifier.BatchID) error {
-	// The first attempt uses the known head; after an error the current head is read from the store.
-	head, err := d.knownHead(ctx, id)
-	outcomeUnknown := false
-	for range maxEndWrites {
-		if err != nil {
-			break
-		}
-		if head.Ended {
-			return nil
-		}
-		head.Ended = true
-		var written batchkeeper.Head
-		written, err = d.config.Keeper.Replace(context.WithoutCancel(ctx), head)
-		if err == nil {
-			d.updateHead(written)
-			d.config.Log.Info(logger.JobEnded).Str("request", string(id)).Send()
-			return nil
-		}
-		d.config.Log.Warn(logger.JobEnded).Str("request", string(id)).Err(err).Send()
-		outcomeUnknown = outcomeUnknown || errors.Is(err, connector.ErrOutcomeUnknown)
-		head, err = d.config.Keeper.Head(ctx, id)
-	}
-	if err == nil {
-		err = connector.ErrUnavailable
-	}
-	if err = hideOutcomeUnknown(err); outcomeUnknown {
-		return errors.Join(connector.ErrOutcomeUnknown, err)
-	}
-	return fmt.Errorf("%w: %w", connector.ErrUnavailable, err)
-}
-
-// maxEndWrites bounds the attempts to write the end of a job: a conflict with an adoption and a lost response may precede
-// the successful one.
-const maxEndWrites = 4
-
-func (d *Driver) knownHead(ctx context.Context, id identifier.BatchID) (batchkeeper.Head, error) {
-	d.mu.Lock()
-	h, owned := d.owned[id]
-	head, known := d.headCache[id]
-	if owned {
-		head, known = h.head, true
-	}
-	d.mu.Unlock()
-	if known {
-		return head, nil
-	}
-	return d.config.Keeper.Head(ctx, id)
-}
-
-// updateHead records a newer head; if it ends a job that this host owns, the runs stop. If it names another owner, this
-// host drops the job, whose list may have grown at the new owner.
-func (d *Driver) updateHead(head batchkeeper.Head) {
-	if d.isOwned(head.ID) && !d.owns(head) {
-		d.config.Log.Warn(logger.JobLost).Str("request", string(head.ID)).Str("owner", string(head.Owner)).Send()
-		d.drop(head.ID, head)
-		return
-	}
-	d.mu.Lock()
-	h, owned := d.owned[head.ID]
-	if owned {
-		h.head = head
-		if head.Ended {
-			d.execute(d.machine.Handle(time.Now(), JobEnded{Job: head.ID}))
-		}
-	}
-	d.mu.Unlock()
-	if !owned {
-		d.cacheHead(head)
-	}
-}
-
-func (d *Driver) serveEnd(ctx context.Context, params json.RawMessage) (any, error) {
-	var request codec.EndBatch
-	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, annotator.Wrap("decode batch end", "peer", err)
-	}
-	if !d.isOwned(request.Job) {
-		return codec.ReadReply{}, nil
-	}
-	if err := d.endOwned(ctx, request.Job); err != nil {
-		return nil, err
-	}
-	return codec.ReadReply{Owner: true}, nil
-}
