isolator: a request is refused for what it did, not for its equals

Cause: an attempt that was in flight on the second engine when the first one crashed counted as the second crash under a suspect that ran alone, and requests that differ in a member id of their bodies had one fingerprint.

Change: an attempt is evidence only if it ran alone and began after an earlier crash; the fingerprint covers the whole body and the customer; a kind without ids is proven only while no request of that kind gets responses; a request whose equals got responses in the last minute needs a second crash alone. Related: aborted attempts, and reports and proofs of other hosts.

--- a/service/dispatcher/fingerprint.go
+++ b/service/dispatcher/fingerprint.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -25,10 +26,15 @@
 	return digest([]byte(model.Model), []byte(model.Adapter), []byte(prompt))
 }
 
-// plainFingerprint returns the fingerprint of a plain call, which stays the same when the caller sends it again with
-// new callerIDs.
-func plainFingerprint(request connector.PlainRequest) identifier.Fingerprint {
-	return digest([]byte(request.Entry), []byte(request.Method), []byte(request.Path), []byte(request.Query), canonicalBody(request.Body))
+// plainFingerprints returns the fingerprint of a plain call and its kind, which stays the same when the caller sends the call again
+// with new callerIDs. Calls of one kind may be different: what is an id to one service is the content to another.
+func plainFingerprints(request connector.PlainRequest) (fingerprint, kind identifier.Fingerprint) {
+	canonical := canonicalBody(request.Body)
+	kind = digest([]byte(request.Entry), []byte(request.Method), []byte(request.Path), []byte(request.Query), canonical)
+	if request.Customer == "" && bytes.Equal(canonical, request.Body) {
+		return kind, kind
+	}
+	return digest([]byte(kind), []byte(request.Customer), request.Body), kind
 }
 
 // exactFingerprint returns the fingerprint of a request with its unchanged body, by which the permit owner detects that
--- a/service/dispatcher/generate.go
+++ b/service/dispatcher/generate.go
@@ -57,6 +57,7 @@
 	j.priority = request.Priority
 	j.avoid = request.Avoid
 	j.fingerprint = promptFingerprint(j.model, request.Prompt)
+	j.kind = j.fingerprint
 	j.sound = request.Sound
 	j.setDeadline(request.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -46,6 +46,8 @@
 	idempotent  bool
 	hasKey      bool
 	fingerprint identifier.Fingerprint
+	// kind is shared with requests that differ only in ids of their callers.
+	kind identifier.Fingerprint
 	// sound is set for a request that is never the cause of a crash.
 	sound    bool
 	accepted time.Time
--- a/service/dispatcher/placement.go
+++ b/service/dispatcher/placement.go
@@ -92,7 +92,7 @@
 	p.ticket = isolator.Ticket(d.nextID())
 	decision := make(chan isolator.Command, 1)
 	d.decisionWaiters[p.ticket] = decision
-	d.handleIsolator(isolator.RunRequested{Ticket: p.ticket, Fingerprint: j.fingerprint, Class: j.class, Pool: j.pool})
+	d.handleIsolator(isolator.RunRequested{Ticket: p.ticket, Fingerprint: j.fingerprint, Kind: j.kind, Class: j.class, Pool: j.pool})
 	select {
 	case command := <-decision:
 		if _, ok := command.(isolator.Proceed); ok {
@@ -107,7 +107,7 @@
 // recheckProven returns a channel that delivers a refusal if the fingerprint of an isolated suspect has been proven
 // since, for example by another host, and nil otherwise.
 func (j *job) recheckProven(p *placement) chan isolator.Command {
-	until, proven := j.d.isolator.ProvenUntil(time.Now(), j.fingerprint)
+	until, proven := j.d.isolator.Refused(time.Now(), j.fingerprint, j.kind)
 	if !proven {
 		return nil
 	}
@@ -154,7 +154,7 @@
 	}
 	d.router.Handle(now, router.AttemptStarted{Upstream: upstream.ID, Work: p.work})
 	d.handleIsolator(isolator.AttemptStarted{
-		Attempt: p.attempt, Fingerprint: j.fingerprint, Upstream: upstream.ID, Sound: j.sound,
+		Attempt: p.attempt, Fingerprint: j.fingerprint, Kind: j.kind, Upstream: upstream.ID, Sound: j.sound,
 	})
 	return true, obstacle{}
 }
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -50,7 +50,7 @@
 	}
 	j.idempotent = isIdempotent(j.entry, request.Method)
 	j.hasKey = request.IdempotencyKey != "" && j.entry.Route == nil
-	j.fingerprint = plainFingerprint(request)
+	j.fingerprint, j.kind = plainFingerprints(request)
 	j.sound = request.Sound
 	j.setCustomer(request)
 	j.setDeadline(request.Deadline)
--- a/service/dispatcher/run.go
+++ b/service/dispatcher/run.go
@@ -113,7 +113,7 @@
 	end := j.classifyEnd(ctx, p, rule)
 	j.config().Log.Warn(logger.AttemptFailed).Str("request", j.requestID).Str("entry", string(j.entry.Name)).Str("upstream", string(p.upstream.ID)).
 		Str("software", string(p.upstream.Software)).
-		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Str("end", string(end)).Str("fingerprint", string(j.fingerprint)).
+		Str("attempt", string(p.attempt)).Str("failure", string(failure)).Str("end", string(end)).Str("fingerprint", string(j.fingerprint)).Str("kind", string(j.kind)).
 		Bool("alone", p.isolated).Err(err).Send()
 	j.reportToRouter(p, rule, end)
 	j.endAttempt(&p, end)
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -67,7 +67,7 @@
 		return refusal
 	}
 	j.idempotent = isIdempotent(j.entry, s.request.Method)
-	j.fingerprint = plainFingerprint(s.request)
+	j.fingerprint, j.kind = plainFingerprints(s.request)
 	j.setCustomer(s.request)
 	j.setDeadline(s.request.Deadline)
 	if held, err := strconv.ParseInt(s.request.Header.Get(headerLastEventID), 10, 64); err == nil && held > 0 {
--- a/service/isolator/crash.go
+++ b/service/isolator/crash.go
@@ -11,6 +11,8 @@
 	maxCrashes = 64
 	// sameCrashWindow bounds the difference between the times at which hosts notice and report the same crash.
 	sameCrashWindow = 5 * time.Second
+	// clockTolerance is the assumed difference between the clocks of two hosts, by which the reported time of a crash may be late.
+	clockTolerance = 100 * time.Millisecond
 	// commonCauseCrashes is the number of other upstreams whose crashes show a common cause, such as the loss of a rack.
 	commonCauseCrashes = 2
 	// shareTolerance absorbs the rounding errors of added and subtracted shares.
@@ -21,8 +23,10 @@
 type crash struct {
 	upstream identifier.UpstreamID
 	at       time.Time
-	// fingerprints holds what this host had in flight on the upstream.
+	// fingerprints holds the fingerprints and kinds of what this host had in flight on the upstream, requests only the
+	// fingerprints.
 	fingerprints map[identifier.Fingerprint]bool
+	requests     map[identifier.Fingerprint]bool
 	// remote holds what other hosts have reported to have had in flight on it.
 	remote map[identifier.Fingerprint]bool
 }
@@ -32,8 +36,30 @@
 	return c.fingerprints[fingerprint] || c.remote[fingerprint]
 }
 
-// share returns the suspicion that a crash adds to each of this host's fingerprints.
-func (c crash) share() float64 { return 1 / float64(len(c.fingerprints)) }
+func (c crash) add(a *attempt) {
+	c.requests[a.fingerprint] = true
+	for _, fingerprint := range a.fingerprints() {
+		c.fingerprints[fingerprint] = true
+	}
+}
+
+// share returns the suspicion that a crash adds to each of this host's requests.
+func (c crash) share() float64 { return 1 / float64(len(c.requests)) }
+
+// crashedBefore reports whether an attempt began after a crash at which its request, or one of its kind, was in flight: the crash
+// of another upstream, or an earlier one of the same.
+func (i *Isolator) crashedBefore(a *attempt) bool {
+	return slices.ContainsFunc(i.crashes, func(c crash) bool {
+		if !c.ran(a.fingerprint) && !c.ran(a.kind) {
+			return false
+		}
+		at := c.at
+		if len(c.fingerprints) == 0 {
+			at = at.Add(-clockTolerance)
+		}
+		return a.startedAt.After(at) && (c.upstream != a.upstream || a.startedAt.Sub(c.at) > sameCrashWindow)
+	})
+}
 
 // correlate exonerates the fingerprints of recent crashes that have a common cause, and returns those that were not exonerated
 // before. A request cannot have caused the crash of an upstream on which it was not in flight, so when a rack or a zone fails,
--- a/service/isolator/events.go
+++ b/service/isolator/events.go
@@ -35,7 +35,10 @@
 type RunRequested struct {
 	Ticket      Ticket
 	Fingerprint identifier.Fingerprint
-	Class       codec.EntryClass
+	// Kind is shared by the requests that differ only in what callers change when they send a request again. Empty means
+	// Fingerprint.
+	Kind  identifier.Fingerprint
+	Class codec.EntryClass
 	// Pool is the request's pool; suspects wait only for suspects of the same pool.
 	Pool identifier.PoolName
 }
@@ -47,7 +50,9 @@
 type AttemptStarted struct {
 	Attempt     identifier.AttemptID
 	Fingerprint identifier.Fingerprint
-	Upstream    identifier.UpstreamID
+	// Kind is that of RunRequested.
+	Kind     identifier.Fingerprint
+	Upstream identifier.UpstreamID
 	// Sound is set for a request that never crashes upstreams by itself. It needs no permission to run.
 	Sound bool
 }
--- a/service/isolator/isolator.go
+++ b/service/isolator/isolator.go
@@ -59,12 +59,16 @@
 	waiting  []*ticket
 	isolated map[Ticket]identifier.PoolName
 	crashes  []crash
+	// responded holds the fingerprints and kinds of complete responses.
+	responded recentSet
 }
 
 type attempt struct {
 	id          identifier.AttemptID
 	fingerprint identifier.Fingerprint
+	kind        identifier.Fingerprint
 	upstream    identifier.UpstreamID
+	startedAt   time.Time
 	// wasSuspect is set when the fingerprint was a suspect at the start of the attempt. A proof of another request, which may
 	// be wrong, can clear the suspicion while the attempt runs; a crash proves the fingerprint nevertheless.
 	wasSuspect bool
@@ -88,7 +92,9 @@
 	// hadProvisional is set once a provisional proof has ended; the next proof is not provisional.
 	hadProvisional bool
 	aborts         int
-	expires        time.Time
+	// crashesAlone counts the crashes while the request ran alone, since its last response.
+	crashesAlone int
+	expires      time.Time
 	// exonerated is set once its suspicion was cleared because of crashes of other upstreams. This happens only once, so that
 	// several crashing requests at the same time cannot exonerate each other for ever.
 	exonerated bool
@@ -98,6 +104,7 @@
 type ticket struct {
 	id          Ticket
 	fingerprint identifier.Fingerprint
+	kind        identifier.Fingerprint
 	pool        identifier.PoolName
 	training    bool
 }
@@ -112,11 +119,12 @@
 	config.MaxProven = cmp.Or(config.MaxProven, DefaultMaxProven)
 	config.MaxSuspects = cmp.Or(config.MaxSuspects, DefaultMaxSuspects)
 	return &Isolator{
-		config:   config,
-		attempts: make(map[identifier.AttemptID]*attempt),
-		suspects: make(map[identifier.Fingerprint]*suspect),
-		proven:   make(map[identifier.Fingerprint]proof),
-		isolated: make(map[Ticket]identifier.PoolName),
+		config:    config,
+		attempts:  make(map[identifier.AttemptID]*attempt),
+		suspects:  make(map[identifier.Fingerprint]*suspect),
+		proven:    make(map[identifier.Fingerprint]proof),
+		isolated:  make(map[Ticket]identifier.PoolName),
+		responded: newRecentSet(responseMemory, maxResponded),
 	}
 }
 
@@ -156,6 +164,21 @@
 	return p.until, ok && now.Before(p.until)
 }
 
+// Refused reports whether requests with a fingerprint and a kind are refused, and until when. The proof of a kind does not count
+// while other requests of that kind get responses.
+func (i *Isolator) Refused(now time.Time, fingerprint, kind identifier.Fingerprint) (until time.Time, refused bool) {
+	if until, refused = i.ProvenUntil(now, fingerprint); refused || i.responded.has(now, kind) {
+		return until, refused
+	}
+	return i.ProvenUntil(now, kind)
+}
+
+// mustRunAlone reports whether a request or its kind is a suspect. The suspicion of a kind does not count while other requests of
+// that kind get responses.
+func (i *Isolator) mustRunAlone(now time.Time, fingerprint, kind identifier.Fingerprint) bool {
+	return i.isSuspect(now, fingerprint) || !i.responded.has(now, kind) && i.isSuspect(now, kind)
+}
+
 // Suspicion returns the sum of the shares that crashes, aborts and reports of other hosts have added for a fingerprint. Zero
 // means that it is not a suspect.
 func (i *Isolator) Suspicion(fingerprint identifier.Fingerprint) float64 {
@@ -173,7 +196,9 @@
 
 // requestRun decides a new ticket or queues it: live requests in order of arrival, then training requests.
 func (i *Isolator) requestRun(now time.Time, e RunRequested) []Command {
-	t := &ticket{id: e.Ticket, fingerprint: e.Fingerprint, pool: e.Pool, training: e.Class == codec.EntryClassTraining}
+	t := &ticket{
+		id: e.Ticket, fingerprint: e.Fingerprint, kind: cmp.Or(e.Kind, e.Fingerprint), pool: e.Pool, training: e.Class == codec.EntryClassTraining,
+	}
 	if command := i.decide(now, t); command != nil {
 		return []Command{command}
 	}
@@ -189,10 +214,10 @@
 
 // decide returns the command for a ticket, or nil if it is a suspect's and has to wait until fewer suspects of its pool run.
 func (i *Isolator) decide(now time.Time, t *ticket) Command {
-	if until, ok := i.ProvenUntil(now, t.fingerprint); ok {
+	if until, ok := i.Refused(now, t.fingerprint, t.kind); ok {
 		return Refuse{t.id, until}
 	}
-	if !i.isSuspect(now, t.fingerprint) {
+	if !i.mustRunAlone(now, t.fingerprint, t.kind) {
 		return Proceed{t.id}
 	}
 	if i.isolatedIn(t.pool) >= i.config.MaxIsolated {
@@ -232,11 +257,13 @@
 }
 
 func (i *Isolator) startAttempt(now time.Time, e AttemptStarted) {
-	_, proven := i.ProvenUntil(now, e.Fingerprint)
+	kind := cmp.Or(e.Kind, e.Fingerprint)
+	_, proven := i.Refused(now, e.Fingerprint, kind)
 	asserter.Check(asserter.ProvenRequestNeverSent, !proven || e.Sound,
 		"attempt %s on %s has the proven fingerprint %s", e.Attempt, e.Upstream, e.Fingerprint)
 	started := &attempt{
-		id: e.Attempt, fingerprint: e.Fingerprint, upstream: e.Upstream, wasSuspect: i.isSuspect(now, e.Fingerprint), sound: e.Sound,
+		id: e.Attempt, fingerprint: e.Fingerprint, kind: kind, upstream: e.Upstream, startedAt: now,
+		wasSuspect: i.mustRunAlone(now, e.Fingerprint, kind), sound: e.Sound,
 	}
 	for _, other := range i.attemptsOn(e.Upstream) {
 		// A sound request beside another one leaves no doubt about the cause of a crash.
@@ -268,6 +295,9 @@
 	switch e.End {
 	case EndResponded:
 		delete(i.suspects, a.fingerprint)
+		delete(i.suspects, a.kind)
+		i.responded.add(now, a.fingerprint)
+		i.responded.add(now, a.kind)
 	case EndCrashed:
 		return i.recordCrash(now, a)
 	case EndAborted:
@@ -284,34 +314,42 @@
 		return nil
 	}
 	ended.attributed = true
-	if i.isSuspect(now, ended.fingerprint) && !ended.shared {
-		known := i.suspects[ended.fingerprint]
+	if i.ranAlone(now, ended) {
+		known := i.suspectFor(now, ended.fingerprint)
 		known.aborts++
-		if known.aborts >= abortsForProof {
-			return i.prove(now, ended.fingerprint)
+		if known.aborts >= abortsForProof && !i.responded.has(now, ended.fingerprint) {
+			return i.prove(now, ended)
 		}
 	}
-	i.addSuspicion(now, ended.fingerprint, 1)
+	for _, fingerprint := range ended.fingerprints() {
+		i.addSuspicion(now, fingerprint, 1)
+	}
 	return nil
 }
 
-// recordCrash proves a suspect that ran alone. Otherwise it divides the suspicion equally among the fingerprints that were in
-// flight on the upstream.
+// recordCrash proves a suspect that ran alone, unless requests with its fingerprint have got responses lately: then one crash may
+// be a coincidence, and it takes a second one without a response in between. Otherwise it divides the suspicion equally among the
+// requests that were in flight on the upstream.
 func (i *Isolator) recordCrash(now time.Time, ended *attempt) []Command {
 	if ended.attributed {
 		return nil
 	}
-	c := crash{upstream: ended.upstream, at: now, fingerprints: make(map[identifier.Fingerprint]bool)}
+	alone := !ended.sound && i.ranAlone(now, ended)
+	c := crash{upstream: ended.upstream, at: now, fingerprints: make(map[identifier.Fingerprint]bool), requests: make(map[identifier.Fingerprint]bool)}
 	for _, a := range i.attemptsOn(ended.upstream) {
 		a.attributed = true
 		if !a.sound {
-			c.fingerprints[a.fingerprint] = true
+			c.add(a)
 		}
 	}
 	i.addCrash(i.mergeReports(now, c))
 	exonerated := i.correlate(now)
-	if !ended.sound && (ended.wasSuspect || i.isSuspect(now, ended.fingerprint)) && !ended.shared && !exonerated[ended.fingerprint] {
-		return i.prove(now, ended.fingerprint)
+	if alone && !exonerated[ended.fingerprint] {
+		known := i.suspectFor(now, ended.fingerprint)
+		known.crashesAlone++
+		if !i.responded.has(now, ended.fingerprint) || known.crashesAlone > 1 {
+			return i.prove(now, ended)
+		}
 	}
 	var suspects []codec.FlaggedFingerprint
 	for _, fingerprint := range slices.Sorted(maps.Keys(c.fingerprints)) {
@@ -328,6 +366,16 @@
 	return []Command{Suspected{suspects}}
 }
 
+// ranAlone reports whether an attempt is evidence against its own request: it ran without other requests on its upstream, and it
+// began after an earlier crash had made it a suspect. An attempt that was in flight at that crash, as those of equal requests on
+// several upstreams that fail together, shows nothing.
+func (i *Isolator) ranAlone(now time.Time, a *attempt) bool {
+	if a.shared {
+		return false
+	}
+	return a.wasSuspect || i.mustRunAlone(now, a.fingerprint, a.kind) && i.crashedBefore(a)
+}
+
 func (i *Isolator) addSuspicion(now time.Time, fingerprint identifier.Fingerprint, share float64) {
 	s := i.suspectFor(now, fingerprint)
 	s.suspicion += share
@@ -347,14 +395,31 @@
 	return s
 }
 
-// prove makes all hosts refuse a fingerprint. While upstreams also crash for other reasons, a harmless suspect may well run
-// on one of them. The first proof is provisional then: after a short time the request may run alone once more.
-func (i *Isolator) prove(now time.Time, fingerprint identifier.Fingerprint) []Command {
-	p := proof{until: now.Add(i.config.Expiry)}
-	if s := i.suspects[fingerprint]; (s == nil || !s.hadProvisional) && i.recentUnrelatedCrash(now, fingerprint) {
-		p = proof{until: now.Add(i.config.ProvisionalExpiry), provisional: true}
+// prove makes all hosts refuse the fingerprint of an attempt, and its kind unless requests of that kind get responses. While
+// upstreams also crash for other reasons, a harmless suspect may well run on one of them. The first proof is provisional then: after
+// a short time the request may run alone once more.
+func (i *Isolator) prove(now time.Time, a *attempt) []Command {
+	var commands []Command
+	for _, fingerprint := range a.fingerprints() {
+		if fingerprint != a.fingerprint && i.responded.has(now, fingerprint) {
+			continue
+		}
+		p := proof{until: now.Add(i.config.Expiry)}
+		if s := i.suspects[fingerprint]; (s == nil || !s.hadProvisional) && i.recentUnrelatedCrash(now, fingerprint) {
+			p = proof{until: now.Add(i.config.ProvisionalExpiry), provisional: true}
+		}
+		commands = append(commands, Proved{flagged(fingerprint, p)})
+		commands = append(commands, i.addProven(fingerprint, p)...)
+	}
+	return commands
+}
+
+// fingerprints returns the fingerprint and the kind of an attempt, without repetition.
+func (a *attempt) fingerprints() []identifier.Fingerprint {
+	if a.kind == a.fingerprint {
+		return []identifier.Fingerprint{a.fingerprint}
 	}
-	return append([]Command{Proved{flagged(fingerprint, p)}}, i.addProven(fingerprint, p)...)
+	return []identifier.Fingerprint{a.fingerprint, a.kind}
 }
 
 func flagged(fingerprint identifier.Fingerprint, p proof) codec.FlaggedFingerprint {
@@ -395,6 +460,10 @@
 		if until.After(latest) {
 			until = latest
 		}
+		if i.responded.has(now, p.Fingerprint) {
+			// Requests that get responses here crash no upstream; the host that reported the proof saw a coincidence.
+			continue
+		}
 		if now.Before(until) && until.After(i.proven[p.Fingerprint].until) {
 			imported := proof{until: until, provisional: p.Provisional}
 			commands = append(commands, i.addProven(p.Fingerprint, imported)...)
@@ -415,7 +484,7 @@
 	}
 	var commands []Command
 	for _, a := range i.attempts {
-		if a.fingerprint == fingerprint && !a.attributed && !a.sound {
+		if (a.fingerprint == fingerprint || a.kind == fingerprint) && !a.attributed && !a.sound {
 			commands = append(commands, Stop{a.id})
 		}
 	}
