reserver, batcher, translator: what a host holds for callers is bounded

Cause: a submission was in memory several times over (body, items, encoded parts, copies of the store's client), jobs kept their bodies for 240 s after their end, the runtime knew no limit, and nothing bounded the sum over callers.

Change: service/reserver divides 40% of the memory of the settings; what does not fit waits 0.6 s at most and is then refused with 503, memory_full and Retry-After. Submissions are decoded item by item and stored part by part. Bodies of open jobs beyond a quarter stay in the store until their items run; ended jobs beyond a half are unloaded. Related paths: plain bodies, responses of slow callers, pages, messages between hosts, adopted jobs, reads of bodies, cached results. Jobs and items that can never fit are refused with 413.

--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -77,6 +77,7 @@
 	JobEndForwarded       Event = 6121
 	JobEndReceived        Event = 6122
 	StartsHeld            Event = 6123
+	JobUnloaded           Event = 6124
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
 	OrderGiven            Event = 7004
@@ -148,6 +149,7 @@
 	{JobEnded, "batch job ended", "The submitter ended a batch job. A line with an error means that the end is not stored yet and the write is retried.", "No action is needed."},
 	{JobEndForwarded, "end of a batch job forwarded", "This host wrote the end of a batch job that another host owns and sent it to the owner; the field confirmed reports whether the owner stopped. Without a confirmation the call is repeated.", "Check the host in the field owner if its lines never become confirmed."},
 	{JobEndReceived, "end of a batch job received", "This host owns a batch job or is taking it over, learned that its submitter ended it at another host, and starts nothing more of it. The field source names how: owner_call, review or adoption.", "No action is needed; the source review means that the call to the owner did not arrive."},
+	{JobUnloaded, "batch job unloaded", "The batch jobs of this host took too much memory, so it dropped one that has ended; its results are read from the store.", "If this is frequent, add hosts or memory, or keep results for a shorter time."},
 	{StartsHeld, "starts of batch items held", "This host was paused, so other hosts may have ended or taken over its batch jobs; it starts no runs and reward calls until it has compared the jobs with the store or with other hosts. The field held reports whether this begins or ends.", "If this lasts, check this host's network, because it reaches neither the store nor the other hosts."},
 	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -46,6 +46,7 @@
 	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
 	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
+	{"celerygap_caller_memory", "bytes", []string{"kind"}, "Memory that is reserved for callers: used, peak since the start, and limit."},
 	{"celerygap_engines_wanted", "engines", []string{"pool", "model"}, "Engines that the demand of a model's batch jobs calls for, on the holder of the lease for orders."},
 	{"celerygap_engines_reassigned", "engines", []string{"pool", "model"}, "Engines moved to a model because of the demand of batch jobs."},
 	{"celerygap_engine_orders", "calls", []string{"pool", "zone", "outcome"}, "Orders of engines sent to the platform."},
@@ -120,6 +121,27 @@
 	return b.err
 }
 
+// CallerMemory is the memory that a process reserves for callers, in bytes.
+type CallerMemory struct{ Used, Peak, Limit int64 }
+
+// ObserveMemory reports the memory that is reserved for callers whenever the metrics are read.
+func (m *Meter) ObserveMemory(read func() CallerMemory) error {
+	b := builder{meter: m.provider.Meter("celerygap")}
+	text, _ := describe("celerygap_caller_memory")
+	gauge, err := b.meter.Int64ObservableGauge("celerygap_caller_memory", metric.WithDescription(text))
+	if err != nil {
+		return annotator.Wrap("create metric of memory", "self", err)
+	}
+	_, err = b.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		memory := read()
+		for kind, value := range map[string]int64{"used": memory.Used, "peak": memory.Peak, "limit": memory.Limit} {
+			o.ObserveInt64(gauge, value, metric.WithAttributes(attribute.String("kind", kind)))
+		}
+		return nil
+	}, gauge)
+	return annotator.Wrap("create metric of memory", "self", err)
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -28,6 +28,7 @@
 	AttemptsExhausted      Reason = "attempts_exhausted"
 	CrashesUpstreams       Reason = "crashes_upstreams"
 	StoreUnavailable       Reason = "store_unavailable"
+	MemoryFull             Reason = "memory_full"
 	OutcomeUnknown         Reason = "outcome_unknown"
 	KeyReused              Reason = "idempotency_key_reused"
 	KeyInProgress          Reason = "idempotency_key_in_progress"
@@ -93,6 +94,7 @@
 	{AttemptsExhausted, http.StatusBadGateway, "Every allowed attempt failed."},
 	{CrashesUpstreams, http.StatusUnprocessableEntity, "This request is known to crash the upstreams that run it."},
 	{StoreUnavailable, http.StatusServiceUnavailable, "The platform's store is needed and does not answer."},
+	{MemoryFull, http.StatusServiceUnavailable, "The memory of this host for callers is taken by other requests."},
 	{OutcomeUnknown, http.StatusBadGateway, "The request may have run; its answer is not known."},
 	{KeyReused, http.StatusUnprocessableEntity, "The idempotency key belongs to a request with another body."},
 	{KeyInProgress, http.StatusConflict, "The request with this idempotency key is still running."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -32,6 +32,7 @@
 	"celerygap.example/service/peerconnector"
 	"celerygap.example/service/placer"
 	"celerygap.example/service/prober"
+	"celerygap.example/service/reserver"
 	"celerygap.example/service/scaler"
 	"celerygap.example/service/spreader"
 	"celerygap.example/service/tunneler"
@@ -168,6 +169,8 @@
 	Duties connector.DutyCalls
 	// DialUpstream opens a connection to an upstream over this host's own links.
 	DialUpstream connector.DialFunc
+	// Memory bounds what the process holds for callers; nil means no limit.
+	Memory *reserver.Account
 	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
 	// of requests in network.
 	NewUpstreams func(observer connector.Observer, network connector.Network) Upstreams
@@ -272,7 +275,7 @@
 	h.catalogue = cataloguer.New(cataloguer.Config{Log: h.log, Meter: h.config.Meter})
 	h.peers = peerconnector.New(peerconnector.Config{
 		Self: func() codec.Member { return h.prober.Self() }, Listener: h.listeners.peer, Timer: h.timer, Meter: h.config.Meter,
-		Log: h.log, DialTimeout: peerDialTimeout,
+		Log: h.log, DialTimeout: peerDialTimeout, Memory: h.config.Memory,
 	})
 	h.prober = prober.NewDriver(prober.DriverConfig{
 		Self: codec.Member{
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -336,13 +336,13 @@
 	if err != nil {
 		return err
 	}
-	job, err := d.config.Keeper.Load(ctx, head)
+	job, partItems, bodiesLeft, err := d.load(ctx, head)
 	if err != nil {
 		return err
 	}
 	// A build without customers leaves the customer out of the heads that it writes.
 	head.Customer = job.Customer
-	initial := initialState{progress: reason.progress}
+	initial := initialState{partItems: partItems, bodiesLeft: bodiesLeft, progress: reason.progress}
 	if initial.results, initial.chunks, err = d.fenceChain(ctx, id); err != nil {
 		return err
 	}
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -227,6 +227,7 @@
 		if it.run != nil {
 			b.stop(it.run, StopJobEnded)
 		}
+		it.releaseRequest()
 		delete(b.promptEngines, groupKey{id, it.spec.Group})
 		delete(b.completion.groupEngines, groupKey{id, it.spec.Group})
 	}
@@ -338,7 +339,7 @@
 		}
 	case connector.FailureNotStarted:
 		b.pauseRefusing(now, r.engine)
-	case connector.FailureBindingMismatch, connector.FailureTruncated:
+	case connector.FailureBindingMismatch, connector.FailureTruncated, connector.FailureBodyUnavailable:
 		it.notBefore = now.Add(runRetryDelay)
 	case connector.FailureTooLarge:
 		// No text of an item is that long, so none of it is kept.
--- a/service/batcher/cluster_test.go
+++ b/service/batcher/cluster_test.go
@@ -21,6 +21,7 @@
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/cataloguer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/reserver"
 	"celerygap.example/service/storekeeper"
 )
 
@@ -123,6 +124,8 @@
 	*batcher.Driver
 	id   identifier.HostID
 	stop func()
+	// account bounds the memory of the host; it may be nil.
+	account *reserver.Account
 	// stopTicks makes the host behave like one that has just woken up from a pause, as soon as the pause is long enough.
 	stopTicks func()
 	// pauseTicks does the same and lets the ticks go on after a time.
@@ -140,8 +143,11 @@
 	// replacement, if set, replaces the store as well.
 	replacement connector.ObjectStore
 	// reviewInterval overrides the interval between reviews, and rewards the client for reward calls.
-	reviewInterval  time.Duration
-	rewards         connector.PlainCaller
+	reviewInterval time.Duration
+	rewards        connector.PlainCaller
+	// runner, if set, replaces run, and memory returns the account of a host.
+	runner          connector.ItemRunner
+	memory          func() *reserver.Account
 	run             *runner
 	lastIncarnation int64
 }
@@ -167,8 +173,16 @@
 	if c.replacement != nil {
 		store = c.replacement
 	}
+	var run connector.ItemRunner = c.run
+	if c.runner != nil {
+		run = c.runner
+	}
+	var account *reserver.Account
+	if c.memory != nil {
+		account = c.memory()
+	}
 	d := batcher.NewDriver(batcher.DriverConfig{
-		Self: p.Self(), Incarnation: identifier.Incarnation(c.lastIncarnation), Keeper: batchkeeper.New(store), Runner: c.run,
+		Self: p.Self(), Incarnation: identifier.Incarnation(c.lastIncarnation), Keeper: batchkeeper.New(store), Runner: run, Memory: account,
 		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
 		Catalogue: cataloguer.New(cataloguer.Config{}), Upstreams: noUpstreams{}, Members: p, Peers: p, Timer: service,
 		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: cmp.Or(c.reviewInterval, 100*time.Millisecond),
@@ -191,7 +205,7 @@
 			_ = service.Run(ctx)
 		})
 	}
-	h := &host{Driver: d, id: id, stopTicks: stopTicks, pauseTicks: pauseTicks, stop: func() {
+	h := &host{Driver: d, id: id, account: account, stopTicks: stopTicks, pauseTicks: pauseTicks, stop: func() {
 		c.network.mu.Lock()
 		c.network.down[id] = true
 		c.network.mu.Unlock()
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -15,6 +15,7 @@
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/elector"
+	"celerygap.example/service/reserver"
 )
 
 const (
@@ -64,6 +65,8 @@
 	Peers          connector.Peers
 	Timer          *timer.Service
 	Log            *logger.Logger
+	// Memory is the account to which jobs are charged; nil means no limit.
+	Memory *reserver.Account
 	// KeepResults bounds how long results are kept: a job is removed after twice this time since its submission. Zero keeps
 	// all jobs.
 	KeepResults time.Duration
@@ -109,8 +112,12 @@
 	// membersChangedAt is when the live members changed last, and currentListAt when a current list was read last.
 	membersChangedAt time.Time
 	currentListAt    time.Time
-	base             context.Context
-	cancel           context.CancelFunc
+	// bodyBytes is the memory that bodies of open jobs take, as of chargedAt and with what was added since.
+	bodyBytes identifier.Bytes
+	chargedAt time.Time
+	parts     partCache
+	base      context.Context
+	cancel    context.CancelFunc
 }
 
 // ownedJob is the driver's state of a job that this host owns.
@@ -123,6 +130,10 @@
 	// appendingSince is when the write of results in progress began; it is zero without one, and after a write that certainly had
 	// no effect.
 	appendingSince time.Time
+	// partItems holds the number of items in each part of the job in the store.
+	partItems []int
+	// memory is what the job takes.
+	memory *reserver.Reservation
 	// changed is closed and replaced whenever the list of results changes or the job ends.
 	changed chan struct{}
 	// rewards is the context of the job's reward calls, which stopRewards ends.
@@ -146,7 +157,7 @@
 		customers:  make(map[identifier.BatchID]identifier.CustomerName),
 		forwarding: make(map[identifier.BatchID]struct{}),
 		adopting:   make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
-		base: base, cancel: cancel, startedAt: time.Now(),
+		base: base, cancel: cancel, startedAt: time.Now(), parts: partCache{keeper: config.Keeper},
 	}
 	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
 	config.Peers.Handle(methodSubmit, d.serveSubmit)
@@ -217,6 +228,7 @@
 	d.lastTick = now
 	if len(d.owned) > 0 {
 		d.apply(time.Now(), Tick{})
+		d.chargeJobs(now)
 	}
 }
 
@@ -314,7 +326,7 @@
 	var longest time.Duration
 	last := started
 	request := connector.ItemRun{
-		Upstream: upstream, Item: c.Item, Host: c.Host, After: c.After,
+		Upstream: upstream, Host: c.Host, After: c.After,
 		Customer: c.Customer, KeysRequired: d.config.Catalogue.Current().KeysRequired, Priority: c.Priority,
 		OnEvent: func(event connector.RunEvent) error {
 			events++
@@ -327,6 +339,9 @@
 	}
 	// The run may have been stopped before it began.
 	err := context.Cause(ctx)
+	if err == nil {
+		request.Item, err = d.itemOf(ctx, c)
+	}
 	if err == nil {
 		err = d.config.Runner.Run(ctx, request)
 	}
@@ -428,13 +443,18 @@
 func (d *Driver) drop(id identifier.BatchID, head batchkeeper.Head) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h, ok := d.owned[id]
-	if !ok {
-		return
+	if h, ok := d.owned[id]; ok {
+		d.dropLocked(h, head)
 	}
-	d.apply(time.Now(), JobDropped{Job: id})
+}
+
+// dropLocked is drop with d.mu held.
+func (d *Driver) dropLocked(h *ownedJob, head batchkeeper.Head) {
+	id := h.head.ID
+	d.execute(d.machine.Handle(time.Now(), JobDropped{Job: id}))
 	close(h.changed)
 	h.changed = make(chan struct{})
+	h.memory.Release()
 	delete(d.owned, id)
 	d.headCache[id] = head
 }
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -21,6 +21,8 @@
 	SubmittedAt time.Time
 	Results     []codec.BatchResult
 	Progress    []codec.ItemProgress
+	// BodiesStored means that some bodies of items were left in the store.
+	BodiesStored bool
 	// Saved holds the unfinished texts from the store. A text in Progress takes precedence unless the saved one is longer.
 	Saved []codec.ItemProgress
 }
@@ -126,8 +128,11 @@
 	Customer identifier.CustomerName
 	Priority *int
 	Item     *codec.BatchItem
-	Engine   codec.ListedHost
-	After    identifier.EventNumber
+	// Position is that of the item in its job. With BodyStored, its body has to be read from the store.
+	Position   int
+	BodyStored bool
+	Engine     codec.ListedHost
+	After      identifier.EventNumber
 	// Expected is the expected time until the text is complete, if the engine was chosen by it; zero otherwise.
 	Expected time.Duration
 }
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -95,6 +95,8 @@
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
 	ended      bool
+	// bodiesStored is set if bodies of items have to be read from the store.
+	bodiesStored bool
 	// expected is the expected time until the completion of the item whose engine was chosen last, zero if it was not chosen by that.
 	expected time.Duration
 	// results holds the results in the store; pending holds the final results that are not stored yet, of which the
@@ -117,10 +119,12 @@
 func newJob(event JobOpened) *job {
 	j := &job{
 		job: event.Job, submittedAt: event.SubmittedAt, byID: make(map[identifier.ItemID]*item, len(event.Job.Items)),
-		results: event.Results,
+		results: event.Results, bodiesStored: event.BodiesStored,
 	}
-	for i := range event.Job.Items {
-		it := &item{spec: &event.Job.Items[i], position: i, state: itemWaiting, hint: 1}
+	j.job.Items = nil
+	for i, spec := range event.Job.Items {
+		// Each item has a copy of its own, which can be released alone.
+		it := &item{spec: &spec, position: i, state: itemWaiting, hint: 1}
 		j.items = append(j.items, it)
 		j.byID[it.spec.ID] = it
 	}
@@ -167,10 +171,17 @@
 	for _, result := range j.results {
 		if it, ok := j.byID[result.Item]; ok {
 			it.state = itemFinished
+			it.releaseRequest()
+			j.bodiesStored = true
 		}
 	}
 }
 
+// releaseRequest drops what is needed only to run the item. Runs in progress keep their copy.
+func (it *item) releaseRequest() {
+	it.spec = &codec.BatchItem{ID: it.spec.ID, Group: it.spec.Group, ExpectedTokens: it.spec.ExpectedTokens, Tokens: it.spec.Tokens}
+}
+
 func (it *item) restore(progress codec.ItemProgress) {
 	it.events = slices.Clone(progress.Events)
 	it.versions = slices.Clone(progress.Versions)
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -204,7 +204,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.chains) >= maxCachedChains {
+	cached := resultsSize(known.results)
+	for _, chain := range d.chains {
+		cached += resultsSize(chain.results)
+	}
+	if len(d.chains) >= maxCachedChains || cached > maxChainBytes {
 		clear(d.chains)
 	}
 	if _, owned := d.owned[id]; !owned {
@@ -245,7 +249,7 @@
 		return nil, err
 	}
 	if owned {
-		return d.ownedBody(id, item)
+		return d.ownedBody(ctx, id, item)
 	}
 	if member, ok := d.liveMember(head.Owner); ok && member.ID != d.config.Self.ID {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -263,16 +267,20 @@
 	return d.storedBody(ctx, id, item)
 }
 
-func (d *Driver) ownedBody(id identifier.BatchID, item identifier.ItemID) ([]byte, error) {
+func (d *Driver) ownedBody(ctx context.Context, id identifier.BatchID, item identifier.ItemID) ([]byte, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	body, found, _ := d.machine.Body(id, item)
-	if !found {
+	body, position, stored, found := d.machine.Body(id, item)
+	d.mu.Unlock()
+	switch {
+	case !found:
 		return nil, connector.ErrNotFound
+	case stored:
+		return d.bodyAt(ctx, id, position)
 	}
 	return body, nil
 }
 
+// storedBody reads the parts of a job one after the other until it finds the item.
 func (d *Driver) storedBody(ctx context.Context, id identifier.BatchID, item identifier.ItemID) ([]byte, error) {
 	head, err := d.config.Keeper.Head(ctx, id)
 	if err != nil {
@@ -281,19 +289,21 @@
 	if head.Ended {
 		return nil, connector.ErrNotFound
 	}
-	job, err := d.config.Keeper.Load(ctx, head)
-	if err != nil {
-		return nil, err
-	}
-	for _, candidate := range job.Items {
-		if candidate.ID == item {
-			return candidate.Body, nil
+	for number := range head.Parts {
+		part, err := d.config.Keeper.Part(ctx, id, number)
+		if err != nil {
+			return nil, err
+		}
+		for _, candidate := range part.Items {
+			if candidate.ID == item {
+				return candidate.Body, nil
+			}
 		}
 	}
 	return nil, connector.ErrNotFound
 }
 
-func (d *Driver) serveBody(_ context.Context, params json.RawMessage) (any, error) {
+func (d *Driver) serveBody(ctx context.Context, params json.RawMessage) (any, error) {
 	var request codec.ReadBody
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode body read", "peer", err)
@@ -301,6 +311,9 @@
 	if !d.isOwned(request.Job) {
 		return codec.BodyReply{}, nil
 	}
-	body, err := d.ownedBody(request.Job, request.Item)
+	body, err := d.ownedBody(ctx, request.Job, request.Item)
+	if err != nil && !errors.Is(err, connector.ErrNotFound) {
+		return nil, err
+	}
 	return codec.BodyReply{Owner: true, Found: err == nil, Body: body}, nil
 }
--- a/service/batcher/results.go
+++ b/service/batcher/results.go
@@ -21,7 +21,13 @@
 	if !ok {
 		return
 	}
-	j.results = append(j.results, j.pending[:j.inAppend]...)
+	for _, result := range j.pending[:j.inAppend] {
+		j.results = append(j.results, result)
+		if it, ok := j.byID[result.Item]; ok {
+			it.releaseRequest()
+			j.bodiesStored = true
+		}
+	}
 	j.pending = slices.Clone(j.pending[j.inAppend:])
 	j.inAppend = 0
 	j.checkListedOnce()
@@ -120,16 +126,16 @@
 // resultOverhead is the assumed size of a result without its text.
 const resultOverhead identifier.Bytes = 256
 
-// Body returns the request body of an item. A job that has ended has no bodies; known is false for a job that this host
-// does not own.
-func (b *Batcher) Body(id identifier.BatchID, item identifier.ItemID) (body []byte, found, known bool) {
+// Body returns the request body of an item, or its position if the body is in the store only. A job that has ended has no bodies;
+// found is false then, and for a job that this host does not own.
+func (b *Batcher) Body(id identifier.BatchID, item identifier.ItemID) (body []byte, position int, stored, found bool) {
 	j, ok := b.jobs[id]
-	if !ok {
-		return nil, false, false
+	if !ok || j.ended {
+		return nil, 0, false, false
 	}
 	it, ok := j.byID[item]
-	if !ok || j.ended {
-		return nil, false, true
+	if !ok {
+		return nil, 0, false, false
 	}
-	return it.spec.Body, true, true
+	return it.spec.Body, it.position, j.bodiesStored && it.spec.Body == nil, true
 }
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -54,7 +54,7 @@
 	}
 	home := d.home(job)
 	outcomeUnknown := false
-	if home.ID != d.config.Self.ID {
+	if home.ID != d.config.Self.ID && jobSize(job) <= maxForwardBytes {
 		var reply codec.SubmitReply
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		err := d.config.Peers.Call(callCtx, home, methodSubmit, codec.SubmitBatch{From: d.config.Self.ID, Job: job, SubmittedAt: time.Now()}, &reply)
@@ -93,7 +93,9 @@
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(job.ID)).Str("outcome", string(connector.BatchRefused)).Err(err).Send()
 		return connector.BatchRefused, err
 	case created:
-		d.open(head, job, initialState{})
+		initial := initialState{partItems: head.PartItems}
+		job.Items, initial.bodiesLeft = d.leaveBodies(job.Items, head.PartItems)
+		d.open(head, job, initial)
 		return connector.BatchAccepted, nil
 	}
 	d.cacheHead(head)
@@ -105,8 +107,11 @@
 
 // initialState is what is known of a job when this host becomes its owner.
 type initialState struct {
-	results []codec.BatchResult
-	chunks  int
+	// partItems holds the number of items in each part in the store. With bodiesLeft, bodies of items are only there.
+	partItems  []int
+	bodiesLeft bool
+	results    []codec.BatchResult
+	chunks     int
 	// saved holds the unfinished texts from the store, read from textChunks chunks; progress holds those that the former
 	// owner handed over.
 	saved      []codec.ItemProgress
@@ -129,14 +134,17 @@
 		}
 		head.Version, head.Ended = known.Version, known.Ended
 	}
-	owned := &ownedJob{head: head, job: job, chunks: initial.chunks, textChunks: initial.textChunks, changed: make(chan struct{})}
+	owned := &ownedJob{head: head, job: job, chunks: initial.chunks, textChunks: initial.textChunks, partItems: initial.partItems, changed: make(chan struct{})}
+	owned.job.Items = nil
+	owned.memory = d.config.Memory.Charge(itemSize*identifier.Bytes(len(job.Items)) + jobSize(job))
 	owned.rewards, owned.stopRewards = context.WithCancel(d.base)
 	d.owned[head.ID] = owned
 	delete(d.headCache, head.ID)
 	delete(d.chains, head.ID)
 	now := time.Now()
 	d.apply(now, JobOpened{
-		Job: job, SubmittedAt: head.SubmittedAt, Results: initial.results, Progress: initial.progress, Saved: initial.saved,
+		Job: job, SubmittedAt: head.SubmittedAt, BodiesStored: initial.bodiesLeft,
+		Results: initial.results, Progress: initial.progress, Saved: initial.saved,
 	})
 	if head.Ended {
 		// Its items never run, but later jobs may reuse their texts.
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -32,11 +32,16 @@
 	writeRetryDelay  = 100 * time.Millisecond
 )
 
+// MaxItemSize is the size of the largest encoded item: it must fit into one object with the job's other fields.
+const MaxItemSize = identifier.Bytes(1000 << 10)
+
 // Head is a job's head with the version of its object in the store.
 type Head struct {
 	codec.BatchHead
 	ID      identifier.BatchID
 	Version int64
+	// PartItems holds the number of items in each part. Only Create sets it, for a job that it has created.
+	PartItems []int
 }
 
 // Keeper reads and writes batch jobs in the store. It has no state of its own and is safe for concurrent use.
@@ -50,12 +55,17 @@
 // Create stores a job under a head. If the job exists already, it returns the existing head and created is false. An
 // error that is not connector.ErrOutcomeUnknown means that the job does not exist.
 func (k *Keeper) Create(ctx context.Context, job codec.BatchJob, head codec.BatchHead) (stored Head, created bool, err error) {
-	parts, err := splitJob(job)
-	if err != nil {
-		return Head{}, false, annotator.Wrap("encode batch job", "self", err)
-	}
-	for i, part := range parts {
-		if err := k.createPart(ctx, partKey(job.ID, i), part, job.Customer); err != nil {
+	// Each part is encoded only when the one before is stored, so that a large job is not in memory twice.
+	rest := job.Items
+	var partItems []int
+	for head.Parts = 0; head.Parts == 0 || len(rest) > 0; head.Parts++ {
+		part, taken, err := encodePart(job, rest)
+		if err != nil {
+			return Head{}, false, annotator.Wrap("encode batch job", "self", err)
+		}
+		rest = rest[taken:]
+		partItems = append(partItems, taken)
+		if err := k.createPart(ctx, partKey(job.ID, head.Parts), part, job.Customer); err != nil {
 			if errors.Is(err, ErrIDTaken) {
 				return Head{}, false, err
 			}
@@ -63,8 +73,9 @@
 			return Head{}, false, fmt.Errorf("%w: %w", connector.ErrUnavailable, hideOutcomeUnknown(err))
 		}
 	}
-	head.Parts = len(parts)
-	return k.createHead(ctx, job.ID, head)
+	stored, created, err = k.createHead(ctx, job.ID, head)
+	stored.PartItems = partItems
+	return stored, created, err
 }
 
 // hideOutcomeUnknown returns an error with the same text that no longer wraps connector.ErrOutcomeUnknown.
@@ -156,17 +167,17 @@
 	return head, nil
 }
 
-// Load reads all parts of a job and joins their items.
-func (k *Keeper) Load(ctx context.Context, head Head) (codec.BatchJob, error) {
+// Load reads all parts of a job and joins their items. Each part passes through filter, unless that is nil, which may remove what
+// the caller does not need in memory.
+func (k *Keeper) Load(ctx context.Context, head Head, filter func(items []codec.BatchItem)) (codec.BatchJob, error) {
 	var job codec.BatchJob
 	for i := range head.Parts {
-		object, err := k.store.Get(ctx, partKey(head.ID, i))
+		part, err := k.Part(ctx, head.ID, i)
 		if err != nil {
 			return codec.BatchJob{}, err
 		}
-		var part codec.BatchJob
-		if err := json.Unmarshal(object.Value, &part); err != nil {
-			return codec.BatchJob{}, annotator.Wrap("decode batch part", annotator.Peer(object.Key), err)
+		if filter != nil {
+			filter(part.Items)
 		}
 		if i == 0 {
 			job = part
@@ -177,6 +188,17 @@
 	return job, nil
 }
 
+// Part reads one part of a job, which is the job with some of its items in their order.
+func (k *Keeper) Part(ctx context.Context, id identifier.BatchID, number int) (codec.BatchJob, error) {
+	object, err := k.store.Get(ctx, partKey(id, number))
+	if err != nil {
+		return codec.BatchJob{}, err
+	}
+	var part codec.BatchJob
+	err = json.Unmarshal(object.Value, &part)
+	return part, annotator.Wrap("decode batch part", annotator.Peer(object.Key), err)
+}
+
 // Chunk reads one chunk of a job's results; it returns connector.ErrNotFound if the chain is shorter.
 func (k *Keeper) Chunk(ctx context.Context, id identifier.BatchID, number int) (codec.BatchChunk, error) {
 	object, err := k.store.Get(ctx, chunkKey(id, number))
@@ -318,34 +340,26 @@
 	return nil
 }
 
-// splitJob divides a job into encoded parts, each of which is the job with some of its items.
-func splitJob(job codec.BatchJob) ([]json.RawMessage, error) {
-	var parts []json.RawMessage
-	rest := job.Items
-	for first := true; first || len(rest) > 0; first = false {
-		part := job
-		var size identifier.Bytes
-		taken := 0
-		for taken < len(rest) {
-			encoded, err := json.Marshal(rest[taken])
-			if err != nil {
-				return nil, err
-			}
-			if taken > 0 && size+identifier.Bytes(len(encoded)) > maxPartSize {
-				break
-			}
-			size += identifier.Bytes(len(encoded))
-			taken++
-		}
-		part.Items = rest[:taken]
-		rest = rest[taken:]
-		value, err := json.Marshal(part)
+// encodePart encodes the job with as many of the items as fit into one object, and returns their number.
+func encodePart(job codec.BatchJob, items []codec.BatchItem) (part json.RawMessage, taken int, err error) {
+	var size identifier.Bytes
+	for taken < len(items) {
+		encoded, err := json.Marshal(items[taken])
 		if err != nil {
-			return nil, err
+			return nil, 0, err
+		}
+		if identifier.Bytes(len(encoded)) > MaxItemSize {
+			return nil, 0, fmt.Errorf("%w: item %s has %d bytes of %d", connector.ErrItemTooLarge, items[taken].ID, len(encoded), MaxItemSize)
+		}
+		if taken > 0 && size+identifier.Bytes(len(encoded)) > maxPartSize {
+			break
 		}
-		parts = append(parts, value)
+		size += identifier.Bytes(len(encoded))
+		taken++
 	}
-	return parts, nil
+	job.Items = items[:taken]
+	part, err = json.Marshal(job)
+	return part, taken, err
 }
 
 // waitRetry waits for writeRetryDelay; it reports whether ctx is still active.
--- a/service/batchkeeper/batchkeeper_test.go
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -36,7 +36,7 @@
 	require.NoError(t, err)
 	require.True(t, created)
 	require.Greater(t, stored.Parts, 1)
-	loaded, err := k.Load(t.Context(), stored)
+	loaded, err := k.Load(t.Context(), stored, nil)
 	require.NoError(t, err)
 	require.Equal(t, job, loaded)
 }
--- a/service/connector/failure.go
+++ b/service/connector/failure.go
@@ -41,6 +41,8 @@
 	FailureStopped Failure = "stopped"
 	// FailureCancelled means that this host ended the attempt because the caller left or the deadline passed.
 	FailureCancelled Failure = "cancelled"
+	// FailureBodyUnavailable means that the body of the request could not be read from the store; nothing was sent.
+	FailureBodyUnavailable Failure = "body_unavailable"
 )
 
 // UpstreamError is a failed attempt; it matches ErrNotStarted when the upstream certainly ran nothing.
--- a/service/connector/store.go
+++ b/service/connector/store.go
@@ -22,6 +22,8 @@
 	ErrNotStarted = errors.New("upstream ran nothing of the request")
 	// ErrThrottled means that the store refused the call at its rate limit; the call had no effect.
 	ErrThrottled = errors.New("store rate limit reached; the call had no effect")
+	// ErrItemTooLarge means that an item of a batch job does not fit into an object of the store.
+	ErrItemTooLarge = errors.New("an item is larger than the store accepts")
 )
 
 // ConflictError means that the object's version was not the expected one; the write had no effect.
--- a/service/exchanger/budget.go
+++ b/service/exchanger/budget.go
@@ -1,11 +1,13 @@
 package exchanger
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync/atomic"
 
 	"celerygap.example/lib/identifier"
+	"celerygap.example/service/reserver"
 )
 
 // readStep is how much of a body is read before more memory is reserved. A body up to this size is not counted: there are
@@ -20,12 +22,15 @@
 // Budget bounds the memory of the response bodies that are being read at the same time. Without it, a few bodies without end
 // would use up the memory of the process before any of them reaches its own limit.
 type Budget struct {
-	limit identifier.Bytes
-	used  atomic.Int64
+	limit  identifier.Bytes
+	memory *reserver.Account
+	used   atomic.Int64
 }
 
-// NewBudget returns a budget of limit bytes.
-func NewBudget(limit identifier.Bytes) *Budget { return &Budget{limit: limit} }
+// NewBudget returns a budget of limit bytes, whose use is charged to memory as well; memory may be nil.
+func NewBudget(limit identifier.Bytes, memory *reserver.Account) *Budget {
+	return &Budget{limit: limit, memory: memory}
+}
 
 // Used returns the bytes that are reserved.
 func (b *Budget) Used() identifier.Bytes { return identifier.Bytes(b.used.Load()) }
@@ -39,24 +44,34 @@
 }
 
 // ReadBody reads a body of at most limit bytes to its end. It returns an error that IsTooLarge recognizes if the body, or all
-// bodies that are read with the budget together, are larger.
-func (b *Budget) ReadBody(body io.Reader, limit identifier.Bytes) ([]byte, error) {
+// bodies that are held with the budget together, are larger. The budget is used until the end of the request that ctx belongs to,
+// if it has a reserver.Holder, as the response of a slow caller stays in memory.
+func (b *Budget) ReadBody(ctx context.Context, body io.Reader, limit identifier.Bytes) ([]byte, error) {
 	var reserved identifier.Bytes
-	defer func() { b.used.Add(-int64(reserved)) }()
+	charge := b.memory.Charge(0)
+	release := func() {
+		b.used.Add(-int64(reserved))
+		charge.Release()
+	}
 	var text []byte
 	for {
 		step := min(readStep, limit+1-identifier.Bytes(len(text)))
 		chunk, err := io.ReadAll(io.LimitReader(body, int64(step)))
 		text = append(text, chunk...)
+		charge.Set(identifier.Bytes(cap(text)))
 		switch {
 		case err != nil:
-			return nil, err
 		case identifier.Bytes(len(text)) > limit:
-			return nil, errBodyTooLarge
+			err = errBodyTooLarge
 		case identifier.Bytes(len(chunk)) < step:
+			reserver.HolderOf(ctx).Keep(release)
 			return text, nil
 		case !b.reserve(readStep):
-			return nil, errBudgetExhausted
+			err = errBudgetExhausted
+		}
+		if err != nil {
+			release()
+			return nil, err
 		}
 		reserved += readStep
 	}
--- a/service/peerconnector/frames.go
+++ b/service/peerconnector/frames.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,9 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/reserver"
 )
 
 // maxFrameBytes bounds one message: a complete catalogue has at most 1 MiB, a page of samples a few MiB. Without a bound,
@@ -18,6 +22,7 @@
 // frameCodec is a jsonrpc2.ObjectCodec that encodes a message as a varint length and one JSON value.
 type frameCodec struct {
 	traffic *counters
+	memory  *reserver.Account
 }
 
 // WriteObject writes one message; it is an error if the message exceeds maxFrameBytes.
@@ -37,15 +42,40 @@
 	return err
 }
 
-// ReadObject reads one message into object; it is an error if the message exceeds maxFrameBytes.
+// reservedFrameBytes is the size from which memory is reserved for a message before it is read: there is at most one smaller
+// message in each connection.
+const reservedFrameBytes = 256 << 10
+
+// ReadObject reads one message into object; it is an error if the message exceeds maxFrameBytes. A message for which there is no
+// memory is left out, so its call gets no reply.
 func (f frameCodec) ReadObject(stream *bufio.Reader, object any) error {
-	size, err := binary.ReadUvarint(stream)
-	if err != nil {
+	for {
+		size, err := binary.ReadUvarint(stream)
+		if err != nil {
+			return err
+		}
+		if size > maxFrameBytes {
+			return fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxFrameBytes)
+		}
+		var held *reserver.Reservation
+		if size > reservedFrameBytes {
+			// The message is copied once while it is decoded.
+			held, err = f.memory.Reserve(context.Background(), identifier.Bytes(2*size))
+		}
+		if err != nil {
+			f.traffic.messagesLeftOut.Add(1)
+			if _, err := io.CopyN(io.Discard, stream, int64(size)); err != nil {
+				return err
+			}
+			continue
+		}
+		err = f.readFrame(stream, object, size)
+		held.Release()
 		return err
 	}
-	if size > maxFrameBytes {
-		return fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxFrameBytes)
-	}
+}
+
+func (f frameCodec) readFrame(stream *bufio.Reader, object any, size uint64) error {
 	data := make([]byte, size)
 	if _, err := io.ReadFull(stream, data); err != nil {
 		return err
@@ -60,6 +90,7 @@
 	bytesReceived    atomic.Int64
 	messagesSent     atomic.Int64
 	messagesReceived atomic.Int64
+	messagesLeftOut  atomic.Int64
 	dials            atomic.Int64
 }
 
--- a/service/peerconnector/link.go
+++ b/service/peerconnector/link.go
@@ -16,12 +16,17 @@
 
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/grouper"
+	"celerygap.example/lib/identifier"
+	"celerygap.example/service/reserver"
 )
 
 // reuseMargin is how long before the idle timeout an accepted connection is no longer used for calls. The dialing side
 // closes idle connections, and without the margin a call could be sent on a connection that is being closed.
 const reuseMargin = 5 * time.Second
 
+// paramsFactor is the memory that a large request from a peer takes while it is served, in relation to the size of its parameters.
+const paramsFactor = 3
+
 // discardLog discards the log lines of jsonrpc2: they report closed connections, which the callers see as errors anyway.
 var discardLog = log.New(io.Discard, "", 0)
 
@@ -147,7 +152,7 @@
 	}
 	l.socket = countingConnOf(socket)
 	l.touch()
-	stream := jsonrpc2.NewBufferedStream(socket, frameCodec{traffic: &c.traffic})
+	stream := jsonrpc2.NewBufferedStream(socket, frameCodec{traffic: &c.traffic, memory: c.config.Memory})
 	defer close(l.ready)
 	l.conn = jsonrpc2.NewConn(c.base, stream, l, jsonrpc2.SetLogger(discardLog))
 	return l
@@ -240,6 +245,17 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
+	if size := identifier.Bytes(len(params)); size > reserver.SmallSize {
+		// The parameters and what is decoded and encoded of them stay in memory until the response.
+		held, err := l.owner.config.Memory.Reserve(ctx, paramsFactor*size)
+		if err != nil {
+			if !request.Notif {
+				_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: CodeBusy, Message: err.Error()})
+			}
+			return
+		}
+		defer held.Release()
+	}
 	result, err := l.owner.serve(ctx, request.Method, params)
 	l.touch()
 	if request.Notif {
--- a/service/peerconnector/peerconnector.go
+++ b/service/peerconnector/peerconnector.go
@@ -21,6 +21,7 @@
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/reserver"
 )
 
 // The defaults of a Config.
@@ -59,6 +60,8 @@
 	MaxCalls int
 	// MaxHandlers bounds the concurrent handlers of one connection; further requests are refused with CodeBusy.
 	MaxHandlers int
+	// Memory is the account to which messages are charged; nil means no limit.
+	Memory *reserver.Account
 }
 
 // Connector implements connector.Peers.
