--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -131,7 +131,8 @@
 	return decodeHead(object)
 }
 
-// Heads returns the heads of all jobs. A stale list may be seconds old but costs less to read.
+// Heads returns the heads of all jobs, without those that cannot be decoded, which name no job to run. A stale list may be seconds
+// old but costs less to read.
 func (k *Keeper) Heads(ctx context.Context, stale bool) ([]Head, error) {
 	list := k.store.List
 	if stale {
@@ -143,11 +144,9 @@
 	}
 	heads := make([]Head, 0, len(objects.Objects))
 	for _, object := range objects.Objects {
-		head, err := decodeHead(object)
-		if err != nil {
-			return nil, err
+		if head, err := decodeHead(object); err == nil {
+			heads = append(heads, head)
 		}
-		heads = append(heads, head)
 	}
 	return heads, nil
 }
--- a/service/batchkeeper/batchkeeper_test.go
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -72,6 +72,19 @@
 	require.NotErrorIs(t, err, connector.ErrOutcomeUnknown)
 }
 
+// Guards against jobs that nobody adopts any more because another writer has left one head that cannot be decoded.
+func TestUnreadableHeadHidesNoOther(t *testing.T) {
+	store := storekeeper.New()
+	k := batchkeeper.New(store)
+	_, _, err := k.Create(t.Context(), newJob(1, 10), head("a"))
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), "batchheads/odd", 0, []byte(`{"total":"x"}`))
+	require.NoError(t, err)
+	heads, err := k.Heads(t.Context(), false)
+	require.NoError(t, err)
+	require.Len(t, heads, 1)
+}
+
 // Guards against chunks of two writers at one position: the second writer gets the stored chunk with the error, and the
 // first one may repeat a write whose response was lost.
 func TestChunksAreWrittenOnce(t *testing.T) {
--- a/service/peerconnector/frames.go
+++ b/service/peerconnector/frames.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -47,7 +48,7 @@
 const reservedFrameBytes = 256 << 10
 
 // ReadObject reads one message into object; it is an error if the message exceeds maxFrameBytes. A message for which there is no
-// memory is left out, so its call gets no reply.
+// memory, or which is not JSON, is left out, so its call gets no reply.
 func (f frameCodec) ReadObject(stream *bufio.Reader, object any) error {
 	for {
 		size, err := binary.ReadUvarint(stream)
@@ -71,6 +72,12 @@
 		}
 		err = f.readFrame(stream, object, size)
 		held.Release()
+		var malformed *json.SyntaxError
+		if errors.As(err, &malformed) {
+			// The frame is complete, so the next one can be read: one message must not cost the connection.
+			f.traffic.messagesLeftOut.Add(1)
+			continue
+		}
 		return err
 	}
 }
