exchanger: bytes read after a pause do not show that an upstream lives

Reported by other operators: a host that was out of step while engines of a new version joined took streams up at another version.

Cause of a gap found by reading: a new connection counts as one to the known process of an engine if another brought bytes in the last second, and after a pause of the host these bytes are older than they seem.

Change: bytes count from the begin of the call that reads them, and not just after a long call.

--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -54,13 +54,22 @@
 	connection Connection
 }
 
+const (
+	// longRead is a wait for bytes that may have been a pause of this process. Bytes that arrived during a pause are read only
+	// afterwards, all within drainTime.
+	longRead  = 500 * time.Millisecond
+	drainTime = 100 * time.Millisecond
+)
+
 // Connection is a connection to an upstream, as its user sees it.
 type Connection struct {
+	// receivedAt is a moment since which the connection has brought bytes; drainedAt is when bytes of a pause are certainly read.
 	receivedAt atomic.Int64
+	drainedAt  atomic.Int64
 	closed     atomic.Bool
 }
 
-// AliveSince reports whether bytes have arrived on the connection since a moment and it is still open.
+// AliveSince reports whether bytes have certainly arrived on the connection since a moment and it is still open.
 func (c *Connection) AliveSince(moment time.Time) bool {
 	return !c.closed.Load() && c.receivedAt.Load() >= moment.UnixNano()
 }
@@ -68,15 +77,26 @@
 // Closed reports whether this side has closed the connection.
 func (c *Connection) Closed() bool { return c.closed.Load() }
 
-// Read notes when bytes arrive.
+// Read notes when bytes arrive: not before the call, as far as is known.
 func (c *watchedConn) Read(data []byte) (int, error) {
+	began := time.Now()
 	n, err := c.Conn.Read(data)
 	if n > 0 {
-		c.connection.receivedAt.Store(time.Now().UnixNano())
+		c.connection.received(began, time.Now())
 	}
 	return n, err
 }
 
+// received notes bytes that a call has returned. Wall clocks count pauses of the machine, too.
+func (c *Connection) received(began, ended time.Time) {
+	if ended.UnixNano()-began.UnixNano() > int64(longRead) {
+		c.drainedAt.Store(ended.Add(drainTime).UnixNano())
+	}
+	if began.UnixNano() >= c.drainedAt.Load() {
+		c.receivedAt.Store(began.UnixNano())
+	}
+}
+
 // Close notes that the connection is closed.
 func (c *watchedConn) Close() error {
 	c.connection.closed.Store(true)
