--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -132,8 +132,9 @@
 	appendingSince time.Time
 	// partItems holds the number of items in each part of the job in the store.
 	partItems []int
-	// memory is what the job takes.
-	memory *reserver.Reservation
+	// memory is what the job takes. measuredEnded is set once that was measured after its end, from which on it hardly changes.
+	memory        *reserver.Reservation
+	measuredEnded bool
 	// changed is closed and replaced whenever the list of results changes or the job ends.
 	changed chan struct{}
 	// rewards is the context of the job's reward calls, which stopRewards ends.
--- a/service/batcher/end.go
+++ b/service/batcher/end.go
@@ -30,6 +30,7 @@
 const (
 	endSourceOwnerCall endSource = "owner_call"
 	endSourceReview    endSource = "review"
+	endSourceDirectory endSource = "directory"
 	endSourceAdoption  endSource = "adoption"
 )
 
@@ -137,6 +138,21 @@
 	})
 }
 
+// startForwarding reports whether the end of a job has to be forwarded by the caller, because nobody else does so at this host.
+func (d *Driver) startForwarding(id identifier.BatchID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, busy := d.forwarding[id]
+	d.forwarding[id] = struct{}{}
+	return !busy
+}
+
+func (d *Driver) endForwarding(id identifier.BatchID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.forwarding, id)
+}
+
 func (d *Driver) forwardEndOnce(ctx context.Context, head batchkeeper.Head) (confirmed bool) {
 	owner := codec.Member{ID: head.Owner, Address: head.Address}
 	if member, ok := d.liveMember(head.Owner); ok {
--- a/service/batcher/hold.go
+++ b/service/batcher/hold.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"celerygap.example/lib/codec"
-	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
 	"celerygap.example/service/batchkeeper"
 )
@@ -103,7 +102,7 @@
 		err := d.config.Peers.Call(callCtx, member, methodLocate, request, &reply)
 		cancel()
 		if err == nil && !reply.Absent {
-			d.noteHead(batchkeeper.Head{BatchHead: reply.Head, ID: head.ID, Version: reply.Version}, endSourceOwnerCall)
+			d.noteHead(batchkeeper.Head{BatchHead: reply.Head, ID: head.ID, Version: reply.Version}, endSourceDirectory)
 			return true
 		}
 	}
@@ -129,18 +128,3 @@
 	d.currentListAt = now
 	return true
 }
-
-// startForwarding reports whether the end of a job has to be forwarded by the caller, because nobody else does so at this host.
-func (d *Driver) startForwarding(id identifier.BatchID) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, busy := d.forwarding[id]
-	d.forwarding[id] = struct{}{}
-	return !busy
-}
-
-func (d *Driver) endForwarding(id identifier.BatchID) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.forwarding, id)
-}
--- a/service/batcher/memory.go
+++ b/service/batcher/memory.go
@@ -149,10 +149,13 @@
 	var total identifier.Bytes
 	var ended []*ownedJob
 	for id, h := range d.owned {
-		bodies, rest := d.machine.Size(id)
-		d.bodyBytes += bodies
-		h.memory.Set(bodies + rest)
-		total += bodies + rest
+		if !h.measuredEnded {
+			bodies, rest := d.machine.Size(id)
+			d.bodyBytes += bodies
+			h.memory.Set(bodies + rest)
+			h.measuredEnded = h.head.Ended
+		}
+		total += h.memory.Size()
 		if h.head.Ended {
 			ended = append(ended, h)
 		}
--- a/service/peerconnector/frames.go
+++ b/service/peerconnector/frames.go
@@ -43,9 +43,9 @@
 	return err
 }
 
-// reservedFrameBytes is the size from which memory is reserved for a message before it is read: there is at most one smaller
-// message in each connection.
-const reservedFrameBytes = 256 << 10
+// reservedFrameBytes is the size above which a message, which can only be a job or its texts, waits for memory before it is read. A
+// smaller one, such as the list of upstreams, is charged: it must not wait behind requests of callers.
+const reservedFrameBytes = 2 << 20
 
 // ReadObject reads one message into object; it is an error if the message exceeds maxFrameBytes. A message for which there is no
 // memory, or which is not JSON, is left out, so its call gets no reply.
@@ -58,11 +58,7 @@
 		if size > maxFrameBytes {
 			return fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxFrameBytes)
 		}
-		var held *reserver.Reservation
-		if size > reservedFrameBytes {
-			// The message is copied once while it is decoded.
-			held, err = f.memory.Reserve(context.Background(), identifier.Bytes(2*size))
-		}
+		held, err := f.reserve(identifier.Bytes(size))
 		if err != nil {
 			f.traffic.messagesLeftOut.Add(1)
 			if _, err := io.CopyN(io.Discard, stream, int64(size)); err != nil {
@@ -82,6 +78,14 @@
 	}
 }
 
+// reserve reserves memory for a message, which is copied once while it is decoded.
+func (f frameCodec) reserve(size identifier.Bytes) (*reserver.Reservation, error) {
+	if size <= reservedFrameBytes {
+		return f.memory.Charge(2 * size), nil
+	}
+	return f.memory.Reserve(context.Background(), 2*size)
+}
+
 func (f frameCodec) readFrame(stream *bufio.Reader, object any, size uint64) error {
 	data := make([]byte, size)
 	if _, err := io.ReadFull(stream, data); err != nil {
--- a/service/reserver/body.go
+++ b/service/reserver/body.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 
 	"celerygap.example/lib/identifier"
 )
 
-// unknownStep is how much of a body without a stated length is read before room for the longest one is reserved.
-const unknownStep = identifier.Bytes(256 << 10)
+// stages are the sizes up to which a body without a stated length is read before room for more is reserved, the last of which is
+// that of the longest body. There are few, so that half-read bodies seldom wait for each other.
+var stages = []identifier.Bytes{32 << 10, 1 << 20}
 
 // ErrTooLarge means that a body is longer than its limit, or needs more memory than there is for all callers together.
 var ErrTooLarge = errors.New("the body exceeds the limit")
@@ -35,35 +37,44 @@
 	return a.readUnknown(ctx, body, limit)
 }
 
-// readUnknown reads a body whose length is not stated. Room for the longest body is reserved at once rather than step by step,
-// so that half-read bodies do not wait for each other.
+// readUnknown reads a body whose length is not stated.
 func (a *Account) readUnknown(ctx context.Context, body io.Reader, limit identifier.Bytes) ([]byte, *Reservation, error) {
-	first := min(unknownStep, limit+1)
-	held, err := a.Reserve(ctx, 2*first)
+	held, err := a.Reserve(ctx, 0)
 	if err != nil {
 		return nil, nil, err
 	}
-	text, err := io.ReadAll(io.LimitReader(body, int64(first)))
-	if err == nil && identifier.Bytes(len(text)) == first && first <= limit {
+	var text []byte
+	for _, stage := range append(slices.Clone(stages), limit+1) {
+		stage = min(stage, limit+1)
 		// A slice that grows is copied, so the former one counts as well.
-		room := 2 * limit
-		if limit := a.Limit(); limit > 0 {
-			room = min(room, limit-limit/smallShare-held.Size())
+		if err = a.growTo(ctx, held, 2*stage); err != nil {
+			break
 		}
-		if err = held.Grow(ctx, room); err == nil {
-			var rest []byte
-			rest, err = io.ReadAll(io.LimitReader(body, int64(limit+1-first)))
-			text = append(text, rest...)
+		var more []byte
+		more, err = io.ReadAll(io.LimitReader(body, int64(stage)-int64(len(text))))
+		text = append(text, more...)
+		if err != nil || identifier.Bytes(len(text)) < stage {
+			break
 		}
 	}
-	switch {
-	case err != nil:
-	case identifier.Bytes(len(text)) > limit:
+	if err == nil && identifier.Bytes(len(text)) > limit {
 		err = ErrTooLarge
-	default:
-		held.Set(identifier.Bytes(cap(text)))
-		return text, held, nil
 	}
-	held.Release()
-	return nil, nil, err
+	if err != nil {
+		held.Release()
+		return nil, nil, err
+	}
+	held.Set(identifier.Bytes(cap(text)))
+	return text, held, nil
+}
+
+// growTo grows a reservation to a size, or to as much as there can be for one.
+func (a *Account) growTo(ctx context.Context, held *Reservation, size identifier.Bytes) error {
+	if a.Limit() > 0 {
+		size = min(size, a.largest())
+	}
+	if size <= held.Size() {
+		return nil
+	}
+	return held.Grow(ctx, size-held.Size())
 }
--- a/service/reserver/reserver.go
+++ b/service/reserver/reserver.go
@@ -112,12 +112,13 @@
 	return a.peak
 }
 
-// Reserve reserves memory, after a wait if necessary. A size above the limit is reserved once nearly everything else is released.
-// The error is a *FullError or that of ctx.
+// Reserve reserves memory, after a wait if necessary. Instead of more than there can be for one reservation it reserves all of
+// that, so that its holder runs alone. The error is a *FullError or that of ctx.
 func (a *Account) Reserve(ctx context.Context, size identifier.Bytes) (*Reservation, error) {
 	if a == nil || a.config.Limit <= 0 {
 		return nil, nil
 	}
+	size = min(size, a.largest())
 	if err := a.take(ctx, size); err != nil {
 		return nil, err
 	}
@@ -182,12 +183,14 @@
 func (a *Account) fits(size identifier.Bytes) bool {
 	room := a.config.Limit
 	if size > SmallSize {
-		room -= a.config.Limit / smallShare
-		size = min(size, room)
+		room = a.largest()
 	}
 	return a.used+size <= room
 }
 
+// largest returns the largest size of one reservation.
+func (a *Account) largest() identifier.Bytes { return a.config.Limit - a.config.Limit/smallShare }
+
 // full returns the error for a reservation that gets no room. What waits before it is served in turns of the average time for which
 // reservations are held. a.mu must be held.
 func (a *Account) full(size identifier.Bytes) error {
@@ -231,7 +234,7 @@
 	if r == nil {
 		return nil
 	}
-	if limit := r.account.config.Limit; r.size+more > limit-limit/smallShare {
+	if r.size+more > r.account.largest() {
 		return ErrTooLarge
 	}
 	if err := r.account.take(ctx, more); err != nil {
