--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -53,6 +53,8 @@
 	savedAll bool
 	// restarts counts how often the text was cleared.
 	restarts int
+	// bodyStored is set if the body of the item is only in the store.
+	bodyStored bool
 	// moves counts the runs that were moved away from slow engines; movedFrom is the last of these engines.
 	moves     int
 	movedFrom identifier.UpstreamID
@@ -95,8 +97,6 @@
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
 	ended      bool
-	// bodiesStored is set if bodies of items have to be read from the store.
-	bodiesStored bool
 	// expected is the expected time until the completion of the item whose engine was chosen last, zero if it was not chosen by that.
 	expected time.Duration
 	// results holds the results in the store; pending holds the final results that are not stored yet, of which the
@@ -119,12 +119,12 @@
 func newJob(event JobOpened) *job {
 	j := &job{
 		job: event.Job, submittedAt: event.SubmittedAt, byID: make(map[identifier.ItemID]*item, len(event.Job.Items)),
-		results: event.Results, bodiesStored: event.BodiesStored,
+		results: event.Results,
 	}
 	j.job.Items = nil
 	for i, spec := range event.Job.Items {
 		// Each item has a copy of its own, which can be released alone.
-		it := &item{spec: &spec, position: i, state: itemWaiting, hint: 1}
+		it := &item{spec: &spec, position: i, state: itemWaiting, hint: 1, bodyStored: event.BodiesStored && spec.Body == nil}
 		j.items = append(j.items, it)
 		j.byID[it.spec.ID] = it
 	}
@@ -172,7 +172,6 @@
 		if it, ok := j.byID[result.Item]; ok {
 			it.state = itemFinished
 			it.releaseRequest()
-			j.bodiesStored = true
 		}
 	}
 }
@@ -180,6 +179,7 @@
 // releaseRequest drops what is needed only to run the item. Runs in progress keep their copy.
 func (it *item) releaseRequest() {
 	it.spec = &codec.BatchItem{ID: it.spec.ID, Group: it.spec.Group, ExpectedTokens: it.spec.ExpectedTokens, Tokens: it.spec.Tokens}
+	it.bodyStored = true
 }
 
 func (it *item) restore(progress codec.ItemProgress) {
--- a/service/batcher/results.go
+++ b/service/batcher/results.go
@@ -25,7 +25,6 @@
 		j.results = append(j.results, result)
 		if it, ok := j.byID[result.Item]; ok {
 			it.releaseRequest()
-			j.bodiesStored = true
 		}
 	}
 	j.pending = slices.Clone(j.pending[j.inAppend:])
@@ -137,5 +136,5 @@
 	if !ok {
 		return nil, 0, false, false
 	}
-	return it.spec.Body, it.position, j.bodiesStored && it.spec.Body == nil, true
+	return it.spec.Body, it.position, it.bodyStored, true
 }
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -180,6 +180,6 @@
 	b.promptEngines[groupKey{j.job.ID, it.spec.Group}] = e.host.ID
 	b.emit(StartRun{
 		Run: r.id, Job: j.job.ID, Host: j.job.Host, Customer: j.job.Customer, Priority: j.customerPriority,
-		Item: it.spec, Position: it.position, BodyStored: j.bodiesStored && it.spec.Body == nil, Engine: e.host, After: it.lastEvent(), Expected: j.expected,
+		Item: it.spec, Position: it.position, BodyStored: it.bodyStored, Engine: e.host, After: it.lastEvent(), Expected: j.expected,
 	})
 }
--- a/service/reserver/reserver.go
+++ b/service/reserver/reserver.go
@@ -92,7 +92,7 @@
 	return max(a.config.Limit, 0)
 }
 
-// Used returns the bytes that are reserved, and Peak the largest number so far.
+// Used returns the number of bytes that are reserved.
 func (a *Account) Used() identifier.Bytes {
 	if a == nil {
 		return 0
