--- a/service/isolator/evidence.go
+++ b/service/isolator/evidence.go
@@ -104,4 +104,3 @@
 	}
 	return []identifier.Fingerprint{a.fingerprint, a.kind}
 }
-
