--- a/lib/asserter/asserter.go
+++ b/lib/asserter/asserter.go
@@ -29,6 +29,7 @@
 	RetryBudgetNotOverspent Invariant = "retry_budget_not_overspent"
 	EventsInOrder           Invariant = "events_in_order"
 	ItemListedOnce          Invariant = "item_listed_once"
+	ListedStaysListed       Invariant = "listed_stays_listed"
 )
 
 // All lists every invariant.
@@ -36,7 +37,7 @@
 	LabelsMatchChunks, StalenessWithinBound, SlotDeliveredOnce, ResponseComplete, NotRunIsTrue, PermitUsedOnce,
 	LeavingGetsNoWork, ShutdownCutsNoRequest, RevisionNeverReverts, OrderWithinLease, SnapshotNeverGoesBack,
 	FinalResponseImmediate, ProvenRequestNeverSent, InFlightNeverNegative, RetryBudgetNotOverspent, EventsInOrder,
-	ItemListedOnce,
+	ItemListedOnce, ListedStaysListed,
 }
 
 // Handler receives the invariant and the detail of each failed check.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -78,6 +78,8 @@
 	JobEndReceived        Event = 6122
 	StartsHeld            Event = 6123
 	JobUnloaded           Event = 6124
+	PageBehind            Event = 6125
+	PageWithoutResults    Event = 6126
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
 	OrderGiven            Event = 7004
@@ -143,13 +145,15 @@
 	{StepEnded, "step ended", "A step of a trainer ended; the field complete reports whether the trainer got all of its samples.", "No action is needed."},
 	{SampleTooOld, "sample too old", "Finished samples exceeded the staleness bound and are generated again.", "If this is frequent, add generation capacity or raise the staleness bound."},
 	{WeightsAnnounced, "weights announced", "A new weight version was announced.", "No action is needed."},
-	{JobOpened, "batch job opened", "This host owns a batch job and runs its items.", "No action is needed."},
+	{JobOpened, "batch job opened", "This host owns a batch job and runs its items. The field source names how it got the job: created, adopted or handed_over; chunks is the length of its list in the store.", "No action is needed."},
 	{JobRefused, "batch job refused", "A batch job could not be stored, or it is unknown whether it was stored. The submitter must submit it again.", "Check the platform's store."},
 	{JobOfOtherCustomer, "batch job of another customer", "A customer asked for a batch job that belongs to another one, and was told that there is no such job. The line names both.", "No action is needed if this is rare; otherwise ask the customer in the field customer where it got the id."},
 	{JobEnded, "batch job ended", "The submitter ended a batch job. A line with an error means that the end is not stored yet and the write is retried.", "No action is needed."},
 	{JobEndForwarded, "end of a batch job forwarded", "This host wrote the end of a batch job that another host owns and sent it to the owner; the field confirmed reports whether the owner stopped. Without a confirmation the call is repeated.", "Check the host in the field owner if its lines never become confirmed."},
 	{JobEndReceived, "end of a batch job received", "This host owns a batch job or is taking it over, learned that its submitter ended it at another host, and starts nothing more of it. The field source names how: owner_call, review, directory or adoption.", "No action is needed; the source review means that the call to the owner did not arrive."},
 	{JobUnloaded, "batch job unloaded", "The batch jobs of this host took too much memory, so it dropped one that has ended; its results are read from the store.", "If this is frequent, add hosts or memory, or keep results for a shorter time."},
+	{PageBehind, "page of results behind", "A page of a batch job had no result at a position that this host had shown before. The line names the source of the page, the owner and the version of the head that led there.", "Find the lines 6101, 6104, 6105 and 6106 of the job on all hosts; two 6101 without a 6106 in between show two owners."},
+	{PageWithoutResults, "page without results", "A page of an incomplete batch job had no results. The field source names what showed that: this host as the owner, another host as the owner, the home of the job, or the store.", "No action is needed."},
 	{StartsHeld, "starts of batch items held", "This host was paused, so other hosts may have ended or taken over its batch jobs; it starts no runs and reward calls until it has compared the jobs with the store or with other hosts. The field held reports whether this begins or ends.", "If this lasts, check this host's network, because it reaches neither the store nor the other hosts."},
 	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -42,6 +42,7 @@
 	{"celerygap_cost_estimated", "cost", []string{"entry"}, "Expected work of requests, in seconds at the usual speed. Compare it with celerygap_cost_seen."},
 	{"celerygap_cost_seen", "cost", []string{"entry"}, "Work of the same requests as it was seen afterwards, at the usual speed."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
+	{"celerygap_batch_pages", "pages", []string{"source", "empty"}, "Pages of results of batch jobs by their source: this host as the owner, another host as the owner, the home of the job, or the store."},
 	{"celerygap_duty_calls", "calls", []string{"duty", "outcome"}, "Calls of the platform that one host at a time makes."},
 	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
 	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
@@ -72,6 +73,7 @@
 	estimated metric.Float64Counter
 	seen      metric.Float64Counter
 	store     metric.Int64Counter
+	pages     metric.Int64Counter
 	duty      metric.Int64Counter
 	windows   metric.Int64Counter
 	counts    metric.Int64Counter
@@ -109,6 +111,7 @@
 	m.estimated = b.floatCounter("celerygap_cost_estimated")
 	m.seen = b.floatCounter("celerygap_cost_seen")
 	m.store = b.counter("celerygap_store_calls")
+	m.pages = b.counter("celerygap_batch_pages")
 	m.duty = b.counter("celerygap_duty_calls")
 	m.windows = b.counter("celerygap_usage_windows")
 	m.counts = b.counter("celerygap_usage_count_calls")
@@ -216,6 +219,11 @@
 		attribute.String("operation", operation), attribute.String("result", result)))
 }
 
+// PageServed counts a page of results of a batch job; empty means that it had none although the job is not complete.
+func (m *Meter) PageServed(source string, empty bool) {
+	m.pages.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source), attribute.Bool("empty", empty)))
+}
+
 // DutyCalled counts a call that one host at a time makes.
 func (m *Meter) DutyCalled(duty, outcome string) {
 	m.duty.Add(context.Background(), 1, metric.WithAttributes(attribute.String("duty", duty), attribute.String("outcome", outcome)))
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -342,7 +342,10 @@
 	}
 	// A build without customers leaves the customer out of the heads that it writes.
 	head.Customer = job.Customer
-	initial := initialState{partItems: partItems, bodiesLeft: bodiesLeft, progress: reason.progress}
+	initial := initialState{source: jobSourceAdopted, partItems: partItems, bodiesLeft: bodiesLeft, progress: reason.progress}
+	if reason.progress != nil {
+		initial.source = jobSourceHandedOver
+	}
 	if initial.results, initial.chunks, err = d.fenceChain(ctx, id); err != nil {
 		return err
 	}
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -11,6 +11,7 @@
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
+	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
@@ -65,6 +66,8 @@
 	Peers          connector.Peers
 	Timer          *timer.Service
 	Log            *logger.Logger
+	// Meter may be nil.
+	Meter *meter.Meter
 	// Memory is the account to which jobs are charged; nil means no limit.
 	Memory *reserver.Account
 	// KeepResults bounds how long results are kept: a job is removed after twice this time since its submission. Zero keeps
@@ -102,6 +105,8 @@
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
 	draining bool
+	// shown holds the number of results that this host has shown of each job.
+	shown map[identifier.BatchID]int
 	// forwarding holds the jobs whose ends are being forwarded to their owners.
 	forwarding map[identifier.BatchID]struct{}
 	// lastTick is the time of the last tick, which shows whether this process was paused. reviewDue is set from a pause until
@@ -156,8 +161,8 @@
 		owned: make(map[identifier.BatchID]*ownedJob), stops: make(map[RunID]context.CancelCauseFunc),
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
 		customers:  make(map[identifier.BatchID]identifier.CustomerName),
-		forwarding: make(map[identifier.BatchID]struct{}),
-		adopting:   make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
+		forwarding: make(map[identifier.BatchID]struct{}), shown: make(map[identifier.BatchID]int),
+		adopting: make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
 		base: base, cancel: cancel, startedAt: time.Now(), parts: partCache{keeper: config.Keeper},
 	}
 	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -38,24 +38,38 @@
 // Read returns results of a job: from this host if it owns the job, else from the owner, else from the store, either
 // through the job's home or directly. Only the owner waits for further results.
 func (d *Driver) Read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, error) {
+	page, origin, err := d.read(ctx, id, after, wait)
+	if err != nil {
+		return codec.BatchPage{}, err
+	}
+	d.notePage(id, after, page, origin)
+	return page, nil
+}
+
+func (d *Driver) read(ctx context.Context, id identifier.BatchID, after int, wait time.Duration) (codec.BatchPage, pageOrigin, error) {
+	own := pageOrigin{source: pageSourceOwner, owner: d.config.Self.ID}
 	if page, ok, err := d.readOwned(ctx, id, after, wait); ok || err != nil {
-		return page, err
+		return page, own, err
 	}
 	head, owned, err := d.ownerOf(ctx, id)
 	if err != nil {
-		return codec.BatchPage{}, err
+		return codec.BatchPage{}, pageOrigin{}, err
 	}
 	if owned {
 		page, _, err := d.readOwned(ctx, id, after, wait)
-		return page, err
+		return page, own, err
 	}
+	origin := pageOrigin{source: pageSourceRemoteOwner, owner: head.Owner, version: head.Version}
 	if page, ok := d.readFromOwner(ctx, head, after, wait); ok {
-		return page, nil
+		return page, origin, nil
 	}
+	origin.source = pageSourceHome
 	if page, ok := d.readThroughHome(ctx, head, after); ok {
-		return page, nil
+		return page, origin, nil
 	}
-	return d.readStored(ctx, head, after)
+	origin.source = pageSourceStore
+	page, err := d.readStored(ctx, head, after)
+	return page, origin, err
 }
 
 // readThroughHome reads the stored results through the job's home, which caches them. Otherwise, after a restart of all
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -93,7 +93,7 @@
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(job.ID)).Str("outcome", string(connector.BatchRefused)).Err(err).Send()
 		return connector.BatchRefused, err
 	case created:
-		initial := initialState{partItems: head.PartItems}
+		initial := initialState{source: jobSourceCreated, partItems: head.PartItems}
 		job.Items, initial.bodiesLeft = d.leaveBodies(job.Items, head.PartItems)
 		d.open(head, job, initial)
 		return connector.BatchAccepted, nil
@@ -105,8 +105,18 @@
 	return connector.BatchAccepted, nil
 }
 
+// jobSource is how a host became the owner of a job, as it appears in logs.
+type jobSource string
+
+const (
+	jobSourceCreated    jobSource = "created"
+	jobSourceAdopted    jobSource = "adopted"
+	jobSourceHandedOver jobSource = "handed_over"
+)
+
 // initialState is what is known of a job when this host becomes its owner.
 type initialState struct {
+	source jobSource
 	// partItems holds the number of items in each part in the store. With bodiesLeft, bodies of items are only there.
 	partItems  []int
 	bodiesLeft bool
@@ -152,7 +162,8 @@
 		d.apply(now, JobEnded{Job: head.ID})
 	}
 	d.apply(now, d.routes())
-	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
+	d.config.Log.Info(logger.JobOpened).Str("request", string(head.ID)).Str("source", string(initial.source)).Int64("head_version", head.Version).
+		Int("chunks", initial.chunks).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(initial.results)).
 		Int("saved", len(initial.saved)).Int("progress", len(initial.progress)).Time("submitted_at", head.SubmittedAt).Send()
 	d.work.Go(func() { d.announce(head) })
