--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -388,7 +388,10 @@
 // BatchHead Value of the store object batchheads/<job>; it exists once the complete job is stored.
 type BatchHead struct {
 	// Address Peer address of the owner.
-	Address     string       `json:"address,omitempty"`
+	Address string `json:"address,omitempty"`
+
+	// Creation Names the write that created the head; it is absent once the head has been replaced, and from heads that a build without it wrote.
+	Creation    string       `json:"creation,omitempty"`
 	Customer    CustomerName `json:"customer,omitempty"`
 	Ended       bool         `json:"ended,omitempty"`
 	Incarnation Incarnation  `json:"incarnation"`
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -82,6 +82,7 @@
 func hideOutcomeUnknown(err error) error { return errors.New(err.Error()) }
 
 func (k *Keeper) createHead(ctx context.Context, id identifier.BatchID, head codec.BatchHead) (Head, bool, error) {
+	head.Creation = NewWriter(head.Owner)
 	value, err := json.Marshal(head)
 	if err != nil {
 		return Head{}, false, annotator.Wrap("encode batch head", "self", err)
@@ -107,8 +108,8 @@
 	return Head{}, false, err
 }
 
-// existingHead returns the head that caused a conflict and whether this process wrote it, with an attempt whose response
-// was lost.
+// existingHead returns the head that caused a conflict and whether this call wrote it, with an attempt whose response was lost, and
+// nobody has replaced it since.
 func (k *Keeper) existingHead(ctx context.Context, id identifier.BatchID, object codec.Object, own codec.BatchHead) (Head, bool, error) {
 	if object.Version == 0 {
 		found, err := k.Head(ctx, id)
@@ -118,9 +119,7 @@
 	return found, err == nil && isOwnHead(found.BatchHead, own), err
 }
 
-func isOwnHead(found, own codec.BatchHead) bool {
-	return found.Owner == own.Owner && found.Incarnation == own.Incarnation && !found.Ended
-}
+func isOwnHead(found, own codec.BatchHead) bool { return found.Creation == own.Creation }
 
 // Head reads the head of a job; it returns connector.ErrNotFound if there is none.
 func (k *Keeper) Head(ctx context.Context, id identifier.BatchID) (Head, error) {
@@ -154,6 +153,7 @@
 // Replace writes a changed head and returns it with its new version. It returns connector.ConflictError if the head in the
 // store no longer has head.Version.
 func (k *Keeper) Replace(ctx context.Context, head Head) (Head, error) {
+	head.Creation = ""
 	value, err := json.Marshal(head.BatchHead)
 	if err != nil {
 		return Head{}, annotator.Wrap("encode batch head", "self", err)
