--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -386,7 +386,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		err = d.config.Keeper.Append(ctx, id, chunks, fence)
+		_, err = d.config.Keeper.Append(ctx, id, chunks, fence)
 		if _, taken := asPositionTaken(err); taken {
 			continue
 		}
--- a/service/batcher/append.go
+++ b/service/batcher/append.go
@@ -25,7 +25,7 @@
 			h.appendingSince = time.Now()
 		}
 		d.mu.Unlock()
-		err := d.config.Keeper.Append(d.base, c.Job, number, chunk)
+		_, err := d.config.Keeper.Append(d.base, c.Job, number, chunk)
 		unknown = unknown || err != nil && !errors.Is(err, connector.ErrUnavailable)
 		if err == nil {
 			d.mu.Lock()
--- a/service/batcher/driver_test.go
+++ b/service/batcher/driver_test.go
@@ -222,7 +222,8 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	late := codec.BatchChunk{Writer: "a#late", Results: []codec.BatchResult{{Item: "i0-", State: codec.ResultStateDone}}}
 	var taken *batchkeeper.PositionTakenError
-	require.ErrorAs(t, keeper.Append(t.Context(), jobID, 0, late), &taken)
+	_, err = keeper.Append(t.Context(), jobID, 0, late)
+	require.ErrorAs(t, err, &taken)
 	require.Empty(t, results(t, b))
 }
 
@@ -241,7 +242,10 @@
 	_, err = keeper.Replace(t.Context(), head)
 	require.NoError(t, err)
 	late := codec.BatchChunk{Writer: "c#1", Results: []codec.BatchResult{{Item: "x", State: codec.ResultStateDone}}}
-	for number := 0; keeper.Append(t.Context(), jobID, number, late) != nil; number++ {
+	for number := 0; ; number++ {
+		if _, err := keeper.Append(t.Context(), jobID, number, late); err == nil {
+			break
+		}
 		require.Less(t, number, 10)
 	}
 	require.NoError(t, a.End(t.Context(), jobID))
--- a/service/batcher/lag_test.go
+++ b/service/batcher/lag_test.go
@@ -58,6 +58,7 @@
 	a.stopTicks()
 	time.Sleep(1200 * time.Millisecond)
 	listed := codec.BatchChunk{Writer: "b#1", Results: []codec.BatchResult{{Item: "i0-", State: codec.ResultStateDone, Text: "text"}}}
-	require.NoError(t, batchkeeper.New(c.store).Append(t.Context(), jobID, 0, listed))
+	_, err = batchkeeper.New(c.store).Append(t.Context(), jobID, 0, listed)
+	require.NoError(t, err)
 	require.Equal(t, listed.Results, results(t, a))
 }
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -217,17 +217,18 @@
 	return "chunk position is taken by writer " + e.Chunk.Writer
 }
 
-// Append creates the next chunk of a job's results. PositionTakenError means that another writer's chunk is stored there.
-// After any other error the chunk may still appear, so the same results must be written again with the same writer.
-func (k *Keeper) Append(ctx context.Context, id identifier.BatchID, number int, chunk codec.BatchChunk) error {
+// Append creates the next chunk of a job's results; last reports whether no further chunk can have existed when the call began,
+// as is certain unless an earlier attempt had stored the chunk. PositionTakenError means that another writer's chunk is stored
+// there. After any other error the chunk may still appear, so the same results must be written again with the same writer.
+func (k *Keeper) Append(ctx context.Context, id identifier.BatchID, number int, chunk codec.BatchChunk) (last bool, err error) {
 	value, err := json.Marshal(chunk)
 	if err != nil {
-		return annotator.Wrap("encode results", "self", err)
+		return false, annotator.Wrap("encode results", "self", err)
 	}
 	_, err = k.store.Put(ctx, chunkKey(id, number), 0, value)
 	conflict, ok := connector.AsConflict(err)
 	if !ok {
-		return err
+		return err == nil, err
 	}
 	var current codec.BatchChunk
 	if conflict.Current.Version == 0 {
@@ -237,11 +238,11 @@
 	}
 	switch {
 	case err != nil:
-		return err
+		return false, err
 	case current.Writer == chunk.Writer:
-		return nil
+		return false, nil
 	default:
-		return &PositionTakenError{Chunk: current}
+		return false, &PositionTakenError{Chunk: current}
 	}
 }
 
--- a/service/batchkeeper/batchkeeper_test.go
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -92,11 +92,15 @@
 	k := batchkeeper.New(store)
 	first := codec.BatchChunk{Writer: batchkeeper.NewWriter("a"), Results: []codec.BatchResult{{Item: "1", State: codec.ResultStateDone}}}
 	store.SetFaults(storekeeper.Faults{LoseResponses: 1})
-	require.ErrorIs(t, k.Append(t.Context(), "job-1", 0, first), connector.ErrOutcomeUnknown)
-	require.NoError(t, k.Append(t.Context(), "job-1", 0, first))
+	_, err := k.Append(t.Context(), "job-1", 0, first)
+	require.ErrorIs(t, err, connector.ErrOutcomeUnknown)
+	last, err := k.Append(t.Context(), "job-1", 0, first)
+	require.NoError(t, err)
+	require.False(t, last, "another host may have appended since the first attempt")
 	second := codec.BatchChunk{Writer: batchkeeper.NewWriter("b"), Results: []codec.BatchResult{{Item: "2"}}}
 	var taken *batchkeeper.PositionTakenError
-	require.ErrorAs(t, k.Append(t.Context(), "job-1", 0, second), &taken)
+	_, err = k.Append(t.Context(), "job-1", 0, second)
+	require.ErrorAs(t, err, &taken)
 	require.Equal(t, first, taken.Chunk)
 }
 
@@ -106,7 +110,9 @@
 	k := batchkeeper.New(store)
 	stored, _, err := k.Create(t.Context(), newJob(5, 300<<10), head("a"))
 	require.NoError(t, err)
-	require.NoError(t, k.Append(t.Context(), "job-1", 0, codec.BatchChunk{Writer: "w"}))
+	last, err := k.Append(t.Context(), "job-1", 0, codec.BatchChunk{Writer: "w"})
+	require.NoError(t, err)
+	require.True(t, last)
 	require.NoError(t, k.AppendTexts(t.Context(), "job-1", 0, codec.TextChunk{Writer: "w"}))
 	require.NoError(t, k.Remove(t.Context(), stored, 1, 1))
 	for _, kind := range []string{"batchheads/", "batchparts/", "batchresults/", "batchtexts/"} {
