batcher: hand over only what this host owns, to a second host if need be, and announce takeovers at once

Two hosts could answer readers as the owner of one job. A host that had lost a job without knowing could hand it over: the target adopted it from its real owner, because a handover was taken without a look at the owner in the head. A host that had become the owner in the head told nobody before it had read the whole job, for as long as the store failed for it; and if the job was ended meanwhile, it never told anybody.

A target now takes a job only from the host that the head names. Whoever becomes the owner announces that to the former owner and to the directory with the write of the head, and does not write the head again for each further attempt. An end that is taken by an owner that has not opened the job is announced, too. A second host is asked before a job is left alone.

TestHostHandsOverOnlyWhatItOwns and TestHandoverGoesOnToAnotherHost failed before. No test shows the announcements.

--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"celerygap.example/lib/annotator"
@@ -18,8 +19,11 @@
 // handOverTimeout bounds the handover of one job, during which the receiver reads the job from the store.
 const handOverTimeout = 1500 * time.Millisecond
 
-// maxHandovers bounds the concurrent handovers.
-const maxHandovers = 4
+// maxHandovers bounds the concurrent handovers, maxHandoverTargets the hosts that are asked to take one job.
+const (
+	maxHandovers       = 4
+	maxHandoverTargets = 2
+)
 
 func (d *Driver) requestReview() {
 	select {
@@ -302,8 +306,9 @@
 	// requested is set if the reviewer has found that the owner is gone; without it, the owner must be an earlier process of
 	// this host.
 	requested bool
-	// progress holds the unfinished texts if the owner hands the job over; otherwise it is nil.
+	// progress holds the unfinished texts if the host from hands the job over; otherwise it is nil.
 	progress []codec.ItemProgress
+	from     identifier.HostID
 }
 
 // mayAdopt reports whether this host may take a job over. An owner that merely seems to be gone is asked.
@@ -311,8 +316,11 @@
 	switch {
 	case head.Ended || d.isOwned(head.ID):
 		return false
-	case reason.progress != nil || head.Owner == d.config.Self.ID:
+	case head.Owner == d.config.Self.ID:
 		return true
+	case reason.progress != nil:
+		// A host that has lost the job without knowing cannot hand it over.
+		return head.Owner == reason.from
 	default:
 		return reason.requested && !d.ownerResponds(ctx, head)
 	}
@@ -330,12 +338,16 @@
 	if !d.mayAdopt(ctx, head, reason) {
 		return nil
 	}
-	former := head.Owner
-	head.Owner, head.Address, head.Incarnation = d.config.Self.ID, d.config.Self.Address, d.config.Incarnation
-	head, err = d.config.Keeper.Replace(ctx, head)
-	if err != nil {
-		return err
+	former := codec.Member{ID: head.Owner, Address: head.Address}
+	if !d.owns(head) || head.Creation != "" {
+		head.Owner, head.Address, head.Incarnation = d.config.Self.ID, d.config.Self.Address, d.config.Incarnation
+		head, err = d.config.Keeper.Replace(ctx, head)
+		if err != nil {
+			return err
+		}
 	}
+	// The former owner may still answer readers, and this host may need several attempts to read the job.
+	d.work.Go(func() { d.announce(head, former) })
 	job, partItems, bodiesLeft, err := d.load(ctx, head)
 	if err != nil {
 		return err
@@ -358,7 +370,7 @@
 		return err
 	}
 	d.cacheHead(current)
-	d.config.Log.Info(logger.JobAdopted).Str("request", string(id)).Str("former", string(former)).Int("results", len(initial.results)).Send()
+	d.config.Log.Info(logger.JobAdopted).Str("request", string(id)).Str("former", string(former.ID)).Int("results", len(initial.results)).Send()
 	d.open(head, job, initial)
 	return nil
 }
@@ -416,19 +428,30 @@
 
 func (d *Driver) handOver(ctx context.Context, h *ownedJob) {
 	id := h.head.ID
-	target := d.home(h.job, d.config.Self.ID)
-	if target.ID == d.config.Self.ID {
-		return
-	}
-	d.mu.Lock()
-	progress := d.machine.Progress(id)
-	d.mu.Unlock()
-	if progress == nil {
-		progress = []codec.ItemProgress{}
+	var progress []codec.ItemProgress
+	asked := []identifier.HostID{d.config.Self.ID}
+	for range maxHandoverTargets {
+		target := d.home(h.job, asked...)
+		if slices.Contains(asked, target.ID) {
+			return
+		}
+		if len(asked) == 1 {
+			d.mu.Lock()
+			progress = d.machine.Progress(id)
+			d.mu.Unlock()
+			// The runs stop here before they resume at the target. A write of results that is still in progress does no harm:
+			// whichever host is second at a position reads the list again.
+			d.drop(id, batchkeeper.Head{ID: id, BatchHead: codec.BatchHead{Owner: target.ID, Total: h.head.Total, Parts: h.head.Parts, Customer: h.job.Customer}})
+		}
+		asked = append(asked, target.ID)
+		if d.handOverTo(ctx, target, id, progress) {
+			return
+		}
 	}
-	// The runs stop here before they resume at the target. A write of results that is still in progress does no harm:
-	// whichever host is second at a position reads the list again.
-	d.drop(id, batchkeeper.Head{ID: id, BatchHead: codec.BatchHead{Owner: target.ID, Total: h.head.Total, Parts: h.head.Parts, Customer: h.job.Customer}})
+}
+
+// handOverTo hands a job that this host has dropped over to one host, and reports whether that owns it now.
+func (d *Driver) handOverTo(ctx context.Context, target codec.Member, id identifier.BatchID, progress []codec.ItemProgress) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	var reply codec.SubmitReply
@@ -437,6 +460,7 @@
 	d.mu.Lock()
 	delete(d.headCache, id)
 	d.mu.Unlock()
+	return err == nil && reply.Accepted
 }
 
 func (d *Driver) serveTake(ctx context.Context, params json.RawMessage) (any, error) {
@@ -451,7 +475,7 @@
 	if progress == nil {
 		progress = []codec.ItemProgress{}
 	}
-	if err := d.adopt(ctx, request.Job, adoption{progress: progress}); err != nil {
+	if err := d.adopt(ctx, request.Job, adoption{progress: progress, from: request.From}); err != nil {
 		// The store may already name this host as the owner.
 		d.adoptOnRequest(request.Job)
 		return nil, err
--- a/service/batcher/end.go
+++ b/service/batcher/end.go
@@ -123,7 +123,14 @@
 // forwardEnd tells the directory hosts of an ended job, and the owner that its head names unless it is this process. It waits for
 // the first call to the owner; if the owner does not confirm, the call is repeated in the background.
 func (d *Driver) forwardEnd(ctx context.Context, head batchkeeper.Head) {
-	if head.Owner == d.config.Self.ID || head.Address == "" || !d.startForwarding(head.ID) {
+	if head.Owner == d.config.Self.ID {
+		if !d.isOwned(head.ID) {
+			// The directory may know only the former owner of a job that this host has not opened.
+			d.work.Go(func() { d.announce(head) })
+		}
+		return
+	}
+	if head.Address == "" || !d.startForwarding(head.ID) {
 		return
 	}
 	confirmed := d.forwardEndOnce(ctx, head)
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -166,12 +166,14 @@
 		Int("chunks", initial.chunks).Str("customer", string(job.Customer)).Str("model", string(job.Model)).Int64("step", int64(job.Step)).
 		Int64("min_version", int64(job.MinVersion)).Int("items", len(job.Items)).Int("results", len(initial.results)).
 		Int("saved", len(initial.saved)).Int("progress", len(initial.progress)).Time("submitted_at", head.SubmittedAt).Send()
-	d.work.Go(func() { d.announce(head) })
+	if initial.source == jobSourceCreated {
+		d.work.Go(func() { d.announce(head) })
+	}
 }
 
-// announce sends the head of a job to its directory hosts, where the others look it up.
-func (d *Driver) announce(head batchkeeper.Head) {
-	for _, member := range d.directory(head.ID) {
+// announce sends the head of a job to its directory hosts, where the others look it up, and to further hosts.
+func (d *Driver) announce(head batchkeeper.Head, further ...codec.Member) {
+	for _, member := range append(further, d.directory(head.ID)...) {
 		if member.ID == d.config.Self.ID {
 			continue
 		}
