batcher: a stopping host opens no batch jobs

After its handovers a stopping host still took submissions that no other host accepted, opened the jobs and left them at its exit to the next adoption, some seconds later. With the head of a job that it was just handing over it opened that anew.

TestDrainingHostOpensNoJobs failed before.

--- a/service/batcher/handover_test.go
+++ b/service/batcher/handover_test.go
@@ -10,6 +10,7 @@
 
 	"celerygap.example/lib/codec"
 	"celerygap.example/service/batchkeeper"
+	"celerygap.example/service/connector"
 )
 
 // takeOver makes another host the owner of the job in the store, which lists a result, and returns that.
@@ -61,3 +62,27 @@
 	require.Equal(t, 2, asked)
 	require.NotEqual(t, former, c.ownerID(t))
 }
+
+// Guards against a job that a stopping host opens after its handovers, and against a refusal of one that is stored.
+func TestDrainingHostOpensNoJobs(t *testing.T) {
+	c := newCluster(t, time.Hour)
+	a, b := c.add("a"), c.add("b")
+	require.NoError(t, a.HandOver(t.Context()))
+	status, err := a.Submit(t.Context(), submission(3))
+	require.NoError(t, err)
+	require.Equal(t, connector.BatchAccepted, status)
+	require.Equal(t, b.id, c.ownerID(t))
+	c.network.mu.Lock()
+	c.network.down[b.id] = true
+	c.network.mu.Unlock()
+	status, err = a.Submit(t.Context(), submission(3))
+	require.NoError(t, err)
+	require.Equal(t, connector.BatchAccepted, status, "a job that the store holds")
+	other := submission(3)
+	other.ID = "other"
+	status, err = a.Submit(t.Context(), other)
+	require.ErrorIs(t, err, connector.ErrDraining)
+	require.Equal(t, connector.BatchRefused, status)
+	_, err = batchkeeper.New(c.store).Head(t.Context(), other.ID)
+	require.ErrorIs(t, err, connector.ErrNotFound)
+}
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -52,7 +52,11 @@
 		}
 		return connector.BatchAccepted, nil
 	}
+	draining := d.isDraining()
 	home := d.home(job)
+	if draining {
+		home = d.home(job, d.config.Self.ID)
+	}
 	outcomeUnknown := false
 	if home.ID != d.config.Self.ID && jobSize(job) <= maxForwardBytes {
 		var reply codec.SubmitReply
@@ -68,6 +72,9 @@
 		outcomeUnknown = err != nil || reply.Uncertain
 		d.config.Log.Info(logger.JobKept).Str("request", string(job.ID)).Str("home", string(home.ID)).Err(err).Send()
 	}
+	if draining {
+		return d.findWhileDraining(ctx, job, outcomeUnknown)
+	}
 	status, err := d.create(ctx, job, time.Now())
 	if status == connector.BatchRefused && outcomeUnknown {
 		status = connector.BatchOutcomeUnknown
@@ -75,6 +82,22 @@
 	return status, err
 }
 
+// findWhileDraining returns the outcome of a submission that no other host took, at a host that opens no further jobs: the job is
+// accepted if the store holds it.
+func (d *Driver) findWhileDraining(ctx context.Context, job codec.BatchJob, outcomeUnknown bool) (connector.BatchStatus, error) {
+	head, err := d.config.Keeper.Head(ctx, job.ID)
+	switch {
+	case err == nil && job.Customer != "" && !mayUse(job.Customer, head.Customer):
+		return d.refuseTaken(job)
+	case err == nil:
+		return connector.BatchAccepted, nil
+	case outcomeUnknown || !errors.Is(err, connector.ErrNotFound):
+		return connector.BatchOutcomeUnknown, errors.Join(connector.ErrDraining, err)
+	default:
+		return connector.BatchRefused, connector.ErrDraining
+	}
+}
+
 // create stores a job with this host as owner and starts it. A job that exists already counts as accepted.
 func (d *Driver) create(ctx context.Context, job codec.BatchJob, submittedAt time.Time) (connector.BatchStatus, error) {
 	// The write continues if the caller disconnects: otherwise the job might be stored while its owner does not know it.
--- a/service/connector/store.go
+++ b/service/connector/store.go
@@ -24,6 +24,8 @@
 	ErrThrottled = errors.New("store rate limit reached; the call had no effect")
 	// ErrItemTooLarge means that an item of a batch job does not fit into an object of the store.
 	ErrItemTooLarge = errors.New("an item is larger than the store accepts")
+	// ErrDraining means that nothing was stored because the host is being stopped.
+	ErrDraining = errors.New("the host is being stopped")
 )
 
 // ConflictError means that the object's version was not the expected one; the write had no effect.
