exchanger: a response without a length is incomplete if its connection was reset during a write

Callers could get 200 with an empty or short body that looks whole. Cause: the operating system reports a reset to one call. If that is the write of the request's body, the next read finds a plain end, and net/http drops the error of the write once the head of the response is there. A connection now remembers the error of a write and returns it where a read finds the end.

--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -1,8 +1,11 @@
 package exchanger
 
 import (
+	"cmp"
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -52,6 +55,9 @@
 	net.Conn
 	exchange   atomic.Pointer[exchangeState]
 	connection Connection
+	// writing is locked during a write, and writeErr is the error of the last one that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 const (
@@ -77,13 +83,19 @@
 // Closed reports whether this side has closed the connection.
 func (c *Connection) Closed() bool { return c.closed.Load() }
 
-// Read notes when bytes arrive: not before the call, as far as is known.
+// Read notes when bytes arrive: not before the call, as far as is known. The operating system reports a reset once, so that a read
+// finds a plain end after a write has failed with it; Read then returns the error of the write.
 func (c *watchedConn) Read(data []byte) (int, error) {
 	began := time.Now()
 	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.connection.received(began, time.Now())
 	}
+	if errors.Is(err, io.EOF) {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+		err = cmp.Or(c.writeErr, err)
+	}
 	return n, err
 }
 
@@ -124,5 +136,11 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(data)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
 }
