--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -114,8 +114,12 @@
 type Front interface {
 	Handler() http.Handler
 	ReadyHandler() http.Handler
-	// Drain turns readiness off.
-	Drain()
+	// Drain turns readiness off; all requests that are served from now on must be answered by the given time.
+	Drain(until time.Time)
+	// Refuse refuses further requests.
+	Refuse()
+	// End ends the requests that are still being served with answers that say whether they may have run.
+	End()
 	// InFlight returns the number of requests that are being served.
 	InFlight() int
 }
--- a/service/assembler/assembler_test.go
+++ b/service/assembler/assembler_test.go
@@ -37,7 +37,9 @@
 }
 
 func (f *slowFront) ReadyHandler() http.Handler { return http.NotFoundHandler() }
-func (f *slowFront) Drain()                     {}
+func (f *slowFront) Drain(time.Time)            {}
+func (f *slowFront) Refuse()                    {}
+func (f *slowFront) End()                       {}
 func (f *slowFront) InFlight() int              { return 0 }
 
 func freeAddress(t *testing.T) string {
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -37,6 +37,8 @@
 	versionPause = 100 * time.Millisecond
 	// stopReserve is the part of StopGrace that the drain leaves for ending the duties.
 	stopReserve = 700 * time.Millisecond
+	// answerReserve is the part of the drain that is left for the answers to requests that have not ended by themselves.
+	answerReserve = 300 * time.Millisecond
 	// leaveTimeout bounds the announcement of a planned stop to other hosts.
 	leaveTimeout = 300 * time.Millisecond
 )
@@ -263,19 +265,27 @@
 	drainEnds := time.Now().Add(max(settings.StopGrace-stopReserve, settings.DrainWait))
 	drainCtx, cancel := context.WithDeadline(ctx, drainEnds)
 	defer cancel()
-	h.front.Drain()
+	answersEnd := drainEnds.Add(-answerReserve)
+	answerCtx, cancelAnswers := context.WithDeadline(drainCtx, answersEnd)
+	defer cancelAnswers()
+	h.front.Drain(answersEnd)
 	h.tunneler.Refuse()
 	waitEnds := time.Now().Add(settings.DrainWait)
-	h.logStep("hand over batch jobs", h.batcher.HandOver(drainCtx))
-	h.logStep("release lease", h.placer.Drain(drainCtx))
-	h.logStep("release duties", h.releaseDuties(drainCtx))
+	h.logStep("hand over batch jobs", h.batcher.HandOver(answerCtx))
+	h.logStep("release lease", h.placer.Drain(answerCtx))
+	h.logStep("release duties", h.releaseDuties(answerCtx))
 	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, leaveTimeout)
 	h.logStep("leave", h.prober.Leave(leaveCtx))
 	cancelLeave()
-	h.sleep(drainCtx, time.Until(waitEnds))
+	h.sleep(answerCtx, time.Until(waitEnds))
+	h.front.Refuse()
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
-	h.logStep("finish connections", h.callers.Shutdown(drainCtx))
-	h.logStep("finish requests", h.finishRequests(drainCtx))
+	h.logStep("finish connections", h.callers.Shutdown(answerCtx))
+	h.logStep("finish requests", h.finishRequests(answerCtx))
+	h.front.End()
+	h.logStep("end requests", h.finishRequests(drainCtx))
+	// A handler ends before its response is sent.
+	h.logStep("send answers", h.callers.Shutdown(drainCtx))
 	h.logStep("send last counts", h.sendLastCounts(drainCtx))
 	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
 	return nil
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -219,6 +219,9 @@
 
 // refuseContextEnded refuses a request whose context ended: the caller disconnected or the deadline passed.
 func (j *job) refuseContextEnded(ctx context.Context) *refuser.Refusal {
+	if errors.Is(context.Cause(ctx), connector.ErrDraining) {
+		return j.refuse(refuser.Draining, shortRetryAfter, "this host is being stopped")
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return j.refuse(refuser.CallerGone, 0, "the caller closed its connection")
 	}
--- a/service/server/operator.go
+++ b/service/server/operator.go
@@ -55,7 +55,7 @@
 func (s *Server) getStatus(c echo.Context) error {
 	view := s.config.Screens.View(time.Now())
 	return c.JSON(http.StatusOK, status{
-		Host: s.config.Members.Self(), Ready: s.config.Ready(), Draining: s.draining.Load(),
+		Host: s.config.Members.Self(), Ready: s.config.Ready(), Draining: s.drain.Draining(),
 		Revision: int64(s.config.Catalogue.Current().Revision), Members: s.config.Members.Live(),
 		InEffect: s.config.Fleet.InEffect(), Snapshot: view.Shown, AgeMS: view.AgeMS,
 	})
--- a/service/server/server.go
+++ b/service/server/server.go
@@ -14,6 +14,7 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/drainer"
 )
 
 // Rollouts accepts the declarations of steps and serves pages of their samples.
@@ -69,13 +70,13 @@
 type Server struct {
 	config   Config
 	echo     *echo.Echo
-	draining atomic.Bool
+	drain    *drainer.Drainer
 	inFlight atomic.Int64
 }
 
 // New returns a server.
 func New(config Config) *Server {
-	s := &Server{config: config, echo: echo.New()}
+	s := &Server{config: config, echo: echo.New(), drain: drainer.New()}
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = s.writeError
@@ -86,8 +87,14 @@
 // Handler returns the HTTP handler of all routes.
 func (s *Server) Handler() http.Handler { return s.echo }
 
-// Drain turns readiness off, so that the load balancer stops sending requests.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain turns readiness off, so that the load balancer stops sending requests. All requests must be answered by the given time.
+func (s *Server) Drain(until time.Time) { s.drain.Drain(until) }
+
+// Refuse refuses the requests that arrive from now on.
+func (s *Server) Refuse() { s.drain.Refuse() }
+
+// End ends the requests that are still being served with refusals that say whether they may have run.
+func (s *Server) End() { s.drain.End() }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -137,10 +144,16 @@
 	return func(c echo.Context) error {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		if s.draining.Load() {
+		if s.drain.Draining() {
 			// A connection that stays open would bring further requests to a host that is stopping.
 			c.Response().Header().Set(echo.HeaderConnection, "close")
 		}
+		if err := s.drain.CheckLate(); err != nil {
+			return err
+		}
+		ctx, release := s.drain.Context(c.Request().Context())
+		defer release()
+		c.SetRequest(c.Request().WithContext(ctx))
 		return next(c)
 	}
 }
@@ -150,7 +163,7 @@
 }
 
 func (s *Server) ready(c echo.Context) error {
-	if s.draining.Load() {
+	if s.drain.Draining() {
 		return c.String(http.StatusServiceUnavailable, "draining\n")
 	}
 	if !s.config.Ready() {
--- a/service/server/server_test.go
+++ b/service/server/server_test.go
@@ -150,7 +150,7 @@
 func TestDrainTurnsReadinessOff(t *testing.T) {
 	s := newServer(t, &fakes{})
 	require.Equal(t, http.StatusOK, send(s, "GET", "/readyz", "").Code)
-	s.Drain()
+	s.Drain(time.Now().Add(time.Minute))
 	require.Equal(t, http.StatusServiceUnavailable, send(s, "GET", "/readyz", "").Code)
 	require.Equal(t, http.StatusOK, send(s, "GET", "/healthz", "").Code)
 }
--- a/service/supervisor/supervisor.go
+++ b/service/supervisor/supervisor.go
@@ -29,6 +29,8 @@
 	idleTimeout = 2 * time.Minute
 	// leaveTimeout bounds the announcement of a planned stop to other hosts.
 	leaveTimeout = 5 * time.Second
+	// answerTimeout bounds the answers to requests that a planned stop ends.
+	answerTimeout = 2 * time.Second
 	// idlePoll is the interval of the check whether all requests have ended.
 	idlePoll = 20 * time.Millisecond
 )
@@ -213,18 +215,22 @@
 func (h *Host) shutDown(ctx context.Context) error {
 	settings := h.config.Settings
 	h.log.Info(logger.Draining).Send()
-	h.parts.server.Drain()
+	answersEnd := time.Now().Add(settings.DrainWait + settings.DrainTimeout)
+	h.parts.server.Drain(answersEnd)
 	h.sleep(ctx, settings.DrainWait)
 
-	drainCtx, cancel := context.WithTimeout(ctx, settings.DrainTimeout)
+	drainCtx, cancel := context.WithDeadline(ctx, answersEnd)
 	defer cancel()
 	h.parts.updater.Drain()
 	h.parts.permitter.Drain()
 	h.logStep(h.parts.scheduler.HandOver(drainCtx))
+	h.parts.server.Refuse()
 	h.logStep(h.http.Shutdown(drainCtx))
 	ticks, stopTicks := h.timer.Subscribe(idlePoll)
 	defer stopTicks()
 	h.logStep(h.parts.server.WaitIdle(drainCtx, ticks))
+	h.parts.server.End()
+	h.sendAnswers(ctx)
 	h.logStep(h.parts.dispatcher.Drain(drainCtx))
 
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
@@ -233,6 +239,13 @@
 	return nil
 }
 
+// sendAnswers waits until the requests that were ended have their answers.
+func (h *Host) sendAnswers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	h.logStep(h.http.Shutdown(ctx))
+}
+
 // logStep logs the error of a step of the stop; the stop continues with the next step.
 func (h *Host) logStep(err error) {
 	if err != nil {
