--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -176,6 +176,8 @@
 			continue
 		}
 		if progress := it.progress(); best == nil || len(progress.Events) > len(best.Events) {
+			// The later job may name another reward call.
+			progress.Score = ""
 			best = &progress
 		}
 	}
