--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -80,8 +80,8 @@
 	LeaseDuration time.Duration
 	// Fenced is set if the engines refuse orders with an outdated fencing token.
 	Fenced bool
-	// KeepResults is half the time for which a batch job and its results are kept: they are discarded once more than twice
-	// KeepResults has passed since the job was submitted. Zero means that they are never discarded.
+	// KeepResults is half the time for which a batch job and its results are kept: once the job has ended, they are discarded as
+	// soon as more than twice KeepResults has passed since it was submitted. Zero means that they are never discarded.
 	KeepResults time.Duration
 	// ResultsSettle is how long after a host has shown a result of a batch job others may lack it; zero means the default of
 	// package batcher.
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -272,10 +272,10 @@
 	return head.Owner == d.config.Self.ID && head.Incarnation == d.config.Incarnation
 }
 
-// expired reports whether this host has to discard a job. Its owner does so, and the reviewer some time later if the owner has
-// not.
+// expired reports whether this host has to discard a job, which is kept at least until its end. Its owner does so, and the reviewer
+// some time later if the owner has not.
 func (d *Driver) expired(head batchkeeper.Head, reviewing bool) bool {
-	if d.config.KeepResults <= 0 {
+	if d.config.KeepResults <= 0 || !head.Ended {
 		return false
 	}
 	age := time.Since(head.SubmittedAt)
--- a/service/batcher/cluster_test.go
+++ b/service/batcher/cluster_test.go
@@ -144,6 +144,7 @@
 	replacement connector.ObjectStore
 	// reviewInterval overrides the interval between reviews, and rewards the client for reward calls.
 	reviewInterval time.Duration
+	keepResults    time.Duration
 	rewards        connector.PlainCaller
 	// runner, if set, replaces run, and memory returns the account of a host.
 	runner          connector.ItemRunner
@@ -186,7 +187,7 @@
 		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
 		Catalogue: cataloguer.New(cataloguer.Config{}), Upstreams: noUpstreams{}, Members: p, Peers: p, Timer: service,
 		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: cmp.Or(c.reviewInterval, 100*time.Millisecond),
-		Rewards: c.rewards, MakeReward: func(codec.RewardCall) connector.PlainRequest { return connector.PlainRequest{} },
+		KeepResults: c.keepResults, Rewards: c.rewards, MakeReward: func(codec.RewardCall) connector.PlainRequest { return connector.PlainRequest{} },
 		Score: func(connector.PlainResponse) string { return "" },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -72,8 +72,8 @@
 	Meter *meter.Meter
 	// Memory is the account to which jobs are charged; nil means no limit.
 	Memory *reserver.Account
-	// KeepResults bounds how long results are kept: a job is removed after twice this time since its submission. Zero keeps
-	// all jobs.
+	// KeepResults bounds how long results are kept: a job that has ended is removed after twice this time since its submission.
+	// Zero keeps all jobs.
 	KeepResults time.Duration
 	// SettleTime is how long after its start a host adopts no jobs of others: until it knows the other hosts, every owner
 	// appears to be gone. ReviewInterval is the time between two periodic reviews for jobs whose owner is gone. Zero means
