batcher: write results and saved texts in objects that the store accepts

Accepted items were never listed: all results that were complete at a time went into one object, the store refused it for its size, and the same write was repeated for ever; the same held for saved texts. A write now has at most 900 KiB.

--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -316,6 +316,8 @@
 		case LogRestart:
 			d.config.Log.Info(logger.ItemTextRestarted).Str("request", string(c.Item)).Str("job", string(c.Job)).Str("pool", string(c.Origin.Pool)).
 				Str("software", string(c.Origin.Software)).Int("events", c.Events).Send()
+		case LogOversized:
+			d.config.Log.Warn(logger.ResultTooLarge).Str("request", string(c.Item)).Str("job", string(c.Job)).Int64("bytes", int64(c.Size)).Send()
 		case NotifyReaders:
 			if h, ok := d.owned[c.Job]; ok {
 				close(h.changed)
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -165,6 +165,13 @@
 	Texts []codec.SavedText
 }
 
+// LogOversized logs an item that is given up because the store can't hold its result.
+type LogOversized struct {
+	Job  identifier.BatchID
+	Item identifier.ItemID
+	Size identifier.Bytes
+}
+
 // LogRestart logs that the text of an item starts again, because no engine of its origin could continue it.
 type LogRestart struct {
 	Job    identifier.BatchID
@@ -185,6 +192,7 @@
 func (NotifyReaders) isCommand() {}
 func (SaveTexts) isCommand()     {}
 func (LogRestart) isCommand()    {}
+func (LogOversized) isCommand()  {}
 
 // StopReason is why a run was stopped, as it appears in logs.
 type StopReason string
--- a/service/batcher/results.go
+++ b/service/batcher/results.go
@@ -79,10 +79,15 @@
 		if now.Sub(j.pendingAt) < flushDelay && !j.groupCompleted && j.unfinished() > 0 {
 			continue
 		}
-		j.groupCompleted = false
-		j.inAppend = len(j.pending)
+		if size := encodedSize(j.pending[0]); size > maxChunkBytes {
+			// The store can't hold such a result, and it would keep back all others.
+			b.emit(LogOversized{Job: id, Item: j.pending[0].Item, Size: size})
+			j.pending[0] = codec.BatchResult{Item: j.pending[0].Item, State: codec.ResultStateDead}
+		}
+		j.inAppend = fittingResults(j.pending)
+		j.groupCompleted = j.groupCompleted && j.inAppend < len(j.pending)
 		j.pendingAt = now
-		b.emit(Append{Job: id, Results: slices.Clone(j.pending)})
+		b.emit(Append{Job: id, Results: slices.Clone(j.pending[:j.inAppend])})
 	}
 }
 
--- a/service/batcher/save.go
+++ b/service/batcher/save.go
@@ -23,10 +23,16 @@
 			continue
 		}
 		var texts []codec.SavedText
+		left := maxChunkBytes
 		for _, it := range j.items {
 			if it.state == itemFinished || len(it.events) < minSavedEvents || it.savedAll && len(it.events) == it.saved {
 				continue
 			}
+			size := encodedTextSize(it.events[it.saved:])
+			if size > left {
+				continue
+			}
+			left -= size
 			texts = append(texts, codec.SavedText{
 				Item: it.spec.ID, After: it.saved, Events: slices.Clone(it.events[it.saved:]), Versions: slices.Clone(it.versions), Origin: it.origin,
 				Complete: it.complete, Score: it.score,
