batcher: only results count as shown, and a read goes on elsewhere when its job moves

Found by reading the change: a caller that asked for a position behind the list made this host take all positions up to it for shown, and answer 503 for earlier ones until the list had grown. An owner that lost a job while a read compared its list with the store joined an empty list with later chunks. TestPositionThatWasOnlyAskedForIsNotShown failed before; no run showed the second one (TestReadGoesOnElsewhereWhenTheJobMoves passes with and without it). The goroutine that announces a takeover has a head of its own.

--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -347,7 +347,8 @@
 		}
 	}
 	// The former owner may still answer readers, and this host may need several attempts to read the job.
-	d.work.Go(func() { d.announce(head, former) })
+	announced := head
+	d.work.Go(func() { d.announce(announced, former) })
 	job, partItems, bodiesLeft, err := d.load(ctx, head)
 	if err != nil {
 		return err
@@ -429,7 +430,7 @@
 
 func (d *Driver) handOver(ctx context.Context, h *ownedJob) {
 	id := h.head.ID
-	var progress []codec.ItemProgress
+	progress := []codec.ItemProgress{}
 	asked := []identifier.HostID{d.config.Self.ID}
 	for range maxHandoverTargets {
 		target := d.home(h.job, asked...)
@@ -438,7 +439,7 @@
 		}
 		if len(asked) == 1 {
 			d.mu.Lock()
-			progress = d.machine.Progress(id)
+			progress = append(progress, d.machine.Progress(id)...)
 			d.mu.Unlock()
 			// The runs stop here before they resume at the target. A write of results that is still in progress does no harm:
 			// whichever host is second at a position reads the list again.
--- a/service/batcher/current_test.go
+++ b/service/batcher/current_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"celerygap.example/lib/codec"
+	"celerygap.example/lib/grouper"
 )
 
 // Guards against LOST: an owner that was neither paused nor told that it has lost its job shows its own, shorter list.
@@ -64,3 +65,49 @@
 	}
 	require.LessOrEqual(t, c.counter.reads.Load(), int64(5))
 }
+
+// Guards against 503 for a page without results because a caller asked for a later position before, of which nothing was shown.
+func TestPositionThatWasOnlyAskedForIsNotShown(t *testing.T) {
+	c := newCluster(t, time.Hour)
+	a := c.add("a")
+	_, err := a.Submit(t.Context(), submission(3))
+	require.NoError(t, err)
+	for _, after := range []int{2, 1, 0} {
+		page, err := a.Read(t.Context(), jobID, after, 0)
+		require.NoError(t, err)
+		require.Empty(t, page.Results)
+	}
+}
+
+// Guards against results at wrong positions, or none, because the owner lost the job while a read compared its list with the store.
+func TestReadGoesOnElsewhereWhenTheJobMoves(t *testing.T) {
+	c, hosts := newSlowReviewCluster(t, 50*time.Millisecond)
+	_, err := hosts["a"].Submit(t.Context(), submission(100))
+	require.NoError(t, err)
+	former := c.ownerID(t)
+	listed := 0
+	require.Eventually(t, func() bool {
+		listed = len(results(t, hosts[former]))
+		return listed > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	group := grouper.NewGroup(-1)
+	moved := make(chan struct{})
+	for range 8 {
+		group.Go(func() {
+			for {
+				page, err := hosts[former].Read(context.Background(), jobID, 0, 0)
+				if err == nil && len(page.Results) < listed {
+					t.Errorf("%d results, %d were shown before", len(page.Results), listed)
+				}
+				select {
+				case <-moved:
+					return
+				default:
+				}
+			}
+		})
+	}
+	require.NoError(t, hosts[former].HandOver(t.Context()))
+	close(moved)
+	group.Wait()
+}
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -144,6 +144,9 @@
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	results, err := h.beyond.get(ctx)
+	if errors.Is(err, errJobMoved) {
+		return codec.BatchPage{}, false, nil
+	}
 	if err != nil {
 		return codec.BatchPage{}, true, err
 	}
@@ -159,8 +162,11 @@
 	return !h.confirmedAt.IsZero() && pauseBetween(h.confirmedAt, now) <= d.config.ResultsSettle*confirmationShare/100
 }
 
+// errJobMoved means that this host has lost a job since a read of it began.
+var errJobMoved = errors.New("the job has moved to another host")
+
 // readBeyond returns this host's list of a job followed by the results that the store holds after it. If these come from another
-// host, that has taken the job over.
+// host, that has taken the job over. It returns errJobMoved if this host does not own the job any more.
 func (d *Driver) readBeyond(h *ownedJob) ([]codec.BatchResult, error) {
 	ctx, cancel := context.WithTimeout(d.base, lookupTimeout)
 	defer cancel()
@@ -168,7 +174,11 @@
 	d.mu.Lock()
 	number, appending := h.chunks, !h.appendingSince.IsZero()
 	results := d.machine.Results(id)
+	owned := d.owned[id] == h
 	d.mu.Unlock()
+	if !owned {
+		return nil, errJobMoved
+	}
 	for first := number; ; number++ {
 		began := time.Now()
 		chunk, err := d.config.Keeper.Chunk(ctx, id, number)
--- a/service/batcher/shown.go
+++ b/service/batcher/shown.go
@@ -35,7 +35,9 @@
 		clear(d.shown)
 	}
 	shown := d.shown[id]
-	d.shown[id] = max(shown, page.Next)
+	if len(page.Results) > 0 {
+		d.shown[id] = max(shown, page.Next)
+	}
 	d.mu.Unlock()
 	if !empty {
 		return true
