batcher: at most 32 reads of a host wait at the owners of jobs

Further reads do not wait. TestWaitingReadsLeavePlacesOfTheConnection failed before with 300 reads at once. Runs with 600 and 1,000 readers and real processes were not made.

--- a/service/batcher/current_test.go
+++ b/service/batcher/current_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +112,35 @@
 	close(moved)
 	group.Wait()
 }
+
+// Guards against an owner that seems dead, and whose jobs are adopted, because reads that wait at it take all places of the
+// connections that carry the probes, too.
+func TestWaitingReadsLeavePlacesOfTheConnection(t *testing.T) {
+	c, hosts := newSlowReviewCluster(t, time.Hour)
+	_, err := hosts["a"].Submit(t.Context(), submission(3))
+	require.NoError(t, err)
+	owner := c.ownerID(t)
+	reader := others(hosts, owner)[0]
+	var waiting, most atomic.Int64
+	read := c.network.handlers[owner]["batch_read"]
+	endpoint{c.network, owner}.Handle("batch_read", func(ctx context.Context, params json.RawMessage) (any, error) {
+		var request codec.ReadBatch
+		if err := json.Unmarshal(params, &request); err == nil && request.Wait > 0 {
+			most.Store(max(most.Load(), waiting.Add(1)))
+			defer waiting.Add(-1)
+		}
+		return read(ctx, params)
+	})
+	group := grouper.NewGroup(-1)
+	for range 300 {
+		group.Go(func() {
+			page, err := reader.Read(context.Background(), jobID, 0, time.Second)
+			if err != nil || len(page.Results) > 0 {
+				t.Errorf("%d results, %v", len(page.Results), err)
+			}
+		})
+	}
+	group.Wait()
+	require.LessOrEqual(t, most.Load(), int64(32), "reads that wait at the owner")
+	require.Positive(t, most.Load())
+}
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -109,6 +109,8 @@
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
 	draining bool
+	// waitingReads counts the reads that wait at the owners of jobs.
+	waitingReads atomic.Int64
 	// shown holds the number of results that this host has shown of each job.
 	shown map[identifier.BatchID]int
 	// forwarding holds the jobs whose ends are being forwarded to their owners.
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -34,6 +34,9 @@
 	confirmationShare = 40
 	// lookupTimeout bounds the reads of the store for results that this host's list may lack.
 	lookupTimeout = 500 * time.Millisecond
+	// maxWaitingReads bounds the reads of this host that wait at the owners of jobs. Each takes a place of the connection to the owner,
+	// which carries the probes as well; further reads do not wait.
+	maxWaitingReads = 32
 	// storedReadTimeout bounds a read of stored results through the home and then from the store.
 	storedReadTimeout = 900 * time.Millisecond
 )
@@ -240,6 +243,10 @@
 	if !ok || member.ID == d.config.Self.ID {
 		return codec.BatchPage{}, false
 	}
+	if d.waitingReads.Add(1) > maxWaitingReads {
+		wait = 0
+	}
+	defer d.waitingReads.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, wait+forwardedReadMargin)
 	defer cancel()
 	var reply codec.ReadReply
