assembler: a stop that was held up still sends the answers to the requests that it ends (LOST)

From the log: the stop got no processor from 27.68 to 28.37, and the time for the answers, which counted from the SIGTERM, was over when it went on. It now counts from the moment at which the requests are ended. TestStopThatWasHeldUpSendsItsAnswers failed before.

--- a/service/assembler/assembler_test.go
+++ b/service/assembler/assembler_test.go
@@ -24,12 +24,21 @@
 // request's header and the start of its handler.
 type slowFront struct {
 	started chan struct{}
+	// ended, unless nil, is closed by End, which the requests wait for.
+	ended chan struct{}
+	// refuse, unless nil, is called by Refuse.
+	refuse func()
 }
 
 func (f *slowFront) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.started <- struct{}{}
-		time.Sleep(500 * time.Millisecond)
+		if f.ended != nil {
+			<-f.ended
+			time.Sleep(100 * time.Millisecond)
+		} else {
+			time.Sleep(500 * time.Millisecond)
+		}
 		if r.Context().Err() == nil {
 			_, _ = io.WriteString(w, "complete")
 		}
@@ -38,9 +47,19 @@
 
 func (f *slowFront) ReadyHandler() http.Handler { return http.NotFoundHandler() }
 func (f *slowFront) Drain(time.Time)            {}
-func (f *slowFront) Refuse()                    {}
-func (f *slowFront) End()                       {}
-func (f *slowFront) InFlight() int              { return 0 }
+
+func (f *slowFront) Refuse() {
+	if f.refuse != nil {
+		f.refuse()
+	}
+}
+
+func (f *slowFront) End() {
+	if f.ended != nil {
+		close(f.ended)
+	}
+}
+func (f *slowFront) InFlight() int { return 0 }
 
 func freeAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,17 +68,15 @@
 	return listener.Addr().String()
 }
 
-// Guards against a planned stop that ends a request whose header was read but whose handler had not begun when the host
-// checked for running requests.
-func TestStopWaitsForRequestsThatAreBeingRead(t *testing.T) {
+// stopDuringARequest starts a host with a front, sends it a request, stops the host while that is served, and returns the response.
+func stopDuringARequest(t *testing.T, front *slowFront, grace time.Duration) (text string, failed error) {
 	meters, err := meter.New()
 	require.NoError(t, err)
-	front := &slowFront{started: make(chan struct{}, 1)}
 	address := freeAddress(t)
 	host, err := assembler.New(assembler.Config{
 		Settings: assembler.Settings{
 			HostID: "a", Zone: "z", Region: "r", Listen: address, ReadyListen: freeAddress(t), PeerListen: freeAddress(t),
-			DrainWait: 50 * time.Millisecond, StopGrace: 5 * time.Second, LeaseDuration: 3 * time.Second,
+			DrainWait: 50 * time.Millisecond, StopGrace: grace, LeaseDuration: 3 * time.Second,
 		},
 		Log: logger.Discard(), Meter: meters, Store: storekeeper.New(),
 		Platform: assembler.Platform{
@@ -78,8 +95,7 @@
 	stop, cancel := context.WithCancel(t.Context())
 	group := grouper.NewGroup(-1)
 	group.Go(func() { _ = host.Run(stop) })
-	var text []byte
-	var failed error
+	var body []byte
 	client := grouper.NewGroup(-1)
 	client.Go(func() {
 		var response *http.Response
@@ -88,12 +104,27 @@
 			return failed == nil
 		}, 5*time.Second, 10*time.Millisecond)
 		defer func() { _ = response.Body.Close() }()
-		text, failed = io.ReadAll(response.Body)
+		body, failed = io.ReadAll(response.Body)
 	})
 	<-front.started
 	cancel()
 	client.Wait()
-	require.NoError(t, failed)
-	require.Equal(t, "complete", string(text))
 	group.Wait()
+	return string(body), failed
+}
+
+// Guards against a planned stop that ends a request whose header was read but whose handler had not begun when the host
+// checked for running requests.
+func TestStopWaitsForRequestsThatAreBeingRead(t *testing.T) {
+	text, err := stopDuringARequest(t, &slowFront{started: make(chan struct{}, 1)}, 5*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "complete", text)
+}
+
+// Guards against a planned stop that was held up and closes connections before the answers to the requests that it ends are sent.
+func TestStopThatWasHeldUpSendsItsAnswers(t *testing.T) {
+	front := &slowFront{started: make(chan struct{}, 1), ended: make(chan struct{}), refuse: func() { time.Sleep(2 * time.Second) }}
+	text, err := stopDuringARequest(t, front, 2*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "complete", text)
 }
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -282,15 +282,23 @@
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
 	h.logStep("finish connections", h.callers.Shutdown(answerCtx))
 	h.logStep("finish requests", h.finishRequests(answerCtx))
-	h.front.End()
-	h.logStep("end requests", h.finishRequests(drainCtx))
-	// A handler ends before its response is sent.
-	h.logStep("send answers", h.callers.Shutdown(drainCtx))
+	h.endRequests(ctx)
 	h.logStep("send last counts", h.sendLastCounts(drainCtx))
 	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
 	return nil
 }
 
+// endRequests ends the requests that are still being served and waits until their answers are sent. The time for that begins now, since
+// the stop may have been held up.
+func (h *Host) endRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answerReserve)
+	defer cancel()
+	h.front.End()
+	h.logStep("end requests", h.finishRequests(ctx))
+	// A handler ends before its response is sent.
+	h.logStep("send answers", h.callers.Shutdown(ctx))
+}
+
 // finishRequests waits until no request is being served; idle connections of callers do not count.
 func (h *Host) finishRequests(ctx context.Context) error {
 	ticks, stop := h.timer.Subscribe(inFlightPollInterval)
