--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -30,7 +30,7 @@
 
 const (
 	// confirmationShare is the percentage of ResultsSettle for which the list of an owner counts as current after it was compared
-	// with the store. The rest is for the way of a page to the caller.
+	// with the store. The rest is left for sending the page to the caller.
 	confirmationShare = 40
 	// lookupTimeout bounds the reads of the store for results that this host's list may lack.
 	lookupTimeout = 500 * time.Millisecond
@@ -110,7 +110,8 @@
 	return *reply.Page, true
 }
 
-// isReliable reports whether a page may be shown: it has results, can have none, or was compared with the store.
+// isReliable reports whether another host's page may be shown: it has results, the position is behind the last item, or the list was
+// compared with the store.
 func isReliable(reply codec.ReadReply, after int) bool {
 	return reply.Confirmed || len(reply.Page.Results) > 0 || after >= reply.Page.Total
 }
@@ -156,8 +157,9 @@
 	return pageOf(results, page.Total, after, pageBytes), true, nil
 }
 
-// isCurrent reports whether no host can have shown results that this host's list lacks, or only such that others may lack, too. The
-// list of an ended job is final, because nobody becomes its owner any more. d.mu must be held.
+// isCurrent reports whether a page without results may be given from this host's list: the list was compared with the store within
+// confirmationShare of ResultsSettle, so that a result it lacks was shown too recently to be due here. The list of an ended job is
+// final, because nobody becomes its owner any more. d.mu must be held.
 func (d *Driver) isCurrent(h *ownedJob, now time.Time) bool {
 	if h.head.Ended && h.appendingSince.IsZero() {
 		return true
--- a/service/batcher/shown.go
+++ b/service/batcher/shown.go
@@ -23,8 +23,8 @@
 	version int64
 }
 
-// notePage counts a page and logs it if it has no results although the job is not complete. It reports whether the page is in line
-// with the positions that this host has shown before.
+// notePage counts a page and logs it if it has no results although the job is not complete. It reports false for a page
+// without a result at a position that this host has shown before.
 func (d *Driver) notePage(id identifier.BatchID, after int, page codec.BatchPage, origin pageOrigin) bool {
 	empty := len(page.Results) == 0 && after < page.Total
 	if d.config.Meter != nil {
--- a/service/drainer/drainer.go
+++ b/service/drainer/drainer.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// Context returns a context for a request that End ends, and a function that releases it.
+// Context returns a context for a request, which End cancels, and a function that releases its resources.
 func (d *Drainer) Context(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	detach := context.AfterFunc(d.ended, func() { cancel(context.Cause(d.ended)) })
