--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -19,8 +19,9 @@
 
 // cases maps the name of a case to its function, which returns whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
-	"added-route":  addedRoute,
-	"extra-answer": extraAnswer,
+	"added-route":   addedRoute,
+	"forgotten-end": forgottenEnd,
+	"extra-answer":  extraAnswer,
 }
 
 func main() {
