--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec "$root/target/review-2/harness2" extra-answer record.txt
+exec "$root/target/review-2/harness2" old-score record.txt
--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -137,6 +137,11 @@
 
 // submit submits a batch job until it is accepted and returns whether it was.
 func (d *deployment) submit(id string, items []item, fronts ...*front) bool {
+	return d.submitStep(id, 0, 1, items, fronts...)
+}
+
+// submitStep is submit for a step of a trainer and the oldest version that may generate its texts.
+func (d *deployment) submitStep(id string, step, minVersion int, items []item, fronts ...*front) bool {
 	list := []any{}
 	for _, it := range items {
 		list = append(list, map[string]any{
@@ -145,7 +150,7 @@
 			"scorer": map[string]any{"id": "score-" + it.ID, "host": host, "path": scorePath + it.ID, "body": []byte("score " + it.ID)},
 		})
 	}
-	body, _ := json.Marshal(map[string]any{"step": 0, "model": model, "min_version": 1, "desired": 1, "items": list})
+	body, _ := json.Marshal(map[string]any{"step": step, "model": model, "min_version": minVersion, "desired": 1, "items": list})
 	for attempt := range 6 {
 		f := fronts[attempt%len(fronts)]
 		status, _ := d.call(f, http.MethodPost, taskPath+"jobs/"+id, id, map[string]string{"Content-Type": "application/json"}, body, 3*time.Second)
