--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -20,6 +20,7 @@
 // cases maps the name of a case to its function, which returns whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) (held bool, err error){
 	"added-route":   addedRoute,
+	"decoded-path":  decodedPath,
 	"old-score":     oldScore,
 	"forgotten-end": forgottenEnd,
 	"extra-answer":  extraAnswer,
