batcher: an open job stays with the route that accepted it

Cause: with each catalogue the owner looked the job's route up again by the host and path of the submission. Evidence: front-1 puts catalogue 5 in effect (2001) and 0.2 ms later stops each run with route_gone (6111), although the job's route is in catalogue 5 unchanged.

Change: a job stores the prefix of its route and a revision that had it; matcher.Follow finds that route in later catalogues by host and prefix, else by name. A removal ends the job's items only after two seconds.

Related paths with the same cause: a longer batch prefix took items to its own service; adopters; jobs stored by the build of production; routes that are missing from one version of several; owners with an older catalogue.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -431,7 +431,13 @@
 	MinVersion WeightVersion `json:"min_version,omitempty"`
 	Model      ModelName     `json:"model,omitempty"`
 	Path       string        `json:"path,omitempty"`
-	Step       StepNumber    `json:"step,omitempty"`
+
+	// PathPrefix Path prefix of the route that accepted the job; absent from jobs that a build without it accepted.
+	PathPrefix string `json:"path_prefix,omitempty"`
+
+	// Revision Catalogue with the route that accepted the job
+	Revision Revision   `json:"revision,omitempty"`
+	Step     StepNumber `json:"step,omitempty"`
 }
 
 // BatchPage defines model for BatchPage.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -80,6 +80,7 @@
 	JobUnloaded           Event = 6124
 	PageBehind            Event = 6125
 	PageWithoutResults    Event = 6126
+	JobRouteChanged       Event = 6127
 	ResultTooLarge        Event = 6127
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
@@ -155,6 +156,7 @@
 	{JobUnloaded, "batch job unloaded", "The batch jobs of this host took too much memory, so it dropped one that has ended; its results are read from the store.", "If this is frequent, add hosts or memory, or keep results for a shorter time."},
 	{PageBehind, "page of results behind", "A page of a batch job had no result at a position that this host had shown before, so the list in the store was read instead. The line names the source of the page, the owner and the version of the head that led there.", "No action is needed if this is rare; otherwise find the lines 6101, 6104, 6105 and 6106 of the job on all hosts; two 6101 without a 6106 in between show two owners."},
 	{PageWithoutResults, "page without results", "A page of an incomplete batch job had no results. The field source names what showed that: this host as the owner, another host as the owner, the home of the job, or the store.", "No action is needed."},
+	{JobRouteChanged, "route of a batch job changed", "The route under which the items of a batch job run is another one, or was found for the first time. The field standing tells what became of the route that accepted the job (accepted_by): kept, moved to a host or prefix that no longer matches, replaced by another route, removed, or pending while the catalogue is older than the job.", "If a standing of removed is not intended, restore the route: after two seconds the items are given up."},
 	{ResultTooLarge, "result too large", "An item was given up because its result is larger than the store accepts.", "Ask the submitter for items with shorter texts."},
 	{StartsHeld, "starts of batch items held", "This host was paused, so other hosts may have ended or taken over its batch jobs; it starts no runs and reward calls until it has compared the jobs with the store or with other hosts. The field held reports whether this begins or ends.", "If this lasts, check this host's network, because it reaches neither the store nor the other hosts."},
 	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -52,7 +52,7 @@
 	h.batcher = batcher.NewDriver(batcher.DriverConfig{
 		Self: h.prober.Self(), Incarnation: identifier.Incarnation(h.timer.Now().UnixMilli()), Keeper: batchkeeper.New(h.relayedStore()),
 		Runner: upstreams.Runner, Rewards: h.dispatcher, MakeReward: h.config.Platform.MakeReward, Score: h.config.Platform.Score,
-		Match: h.match, Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
+		Routes: h.routes, Catalogue: h.catalogue, Upstreams: h.lister, Pacer: h.pacer, Members: h.prober, MembersChanged: h.prober.Changes(), Peers: h.peers,
 		Timer: h.timer, Log: h.log, Meter: h.config.Meter, Memory: h.config.Memory, KeepResults: settings.KeepResults, ResultsSettle: settings.ResultsSettle,
 		Settled: h.settled, FirstStart: settings.FirstStart,
 	})
--- a/service/assembler/rules.go
+++ b/service/assembler/rules.go
@@ -16,10 +16,12 @@
 	keys     *authorizer.Authorizer
 }
 
-// match finds the entry of a request in the catalogue in effect.
-func (h *Host) match(host, path string) (entry codec.Entry, found bool) {
-	entry, found, _ = h.matchWithKeys(host, path)
-	return entry, found
+// routes returns the routes of the catalogue in effect, or nil while there is none.
+func (h *Host) routes() *matcher.Matcher {
+	if r := h.currentRules(); r != nil {
+		return r.routes
+	}
+	return nil
 }
 
 // matchWithKeys finds the entry of a request in the catalogue in effect, and returns the customers of the same revision; keys is nil
--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -184,27 +184,6 @@
 	return best
 }
 
-// changeRoutes applies the entries in effect. A job whose route was removed is abandoned, since its items can no longer
-// run.
-func (b *Batcher) changeRoutes(now time.Time, event RoutesChanged) {
-	for id, j := range b.jobs {
-		entry, ok := event.Entries[id]
-		switch {
-		case ok:
-			j.entry = entry
-			j.customerPriority = event.Priorities[j.job.Customer]
-			j.routed = true
-			for _, it := range j.items {
-				if it.state == itemWaiting && !it.allowedIn(j) {
-					it.clear()
-				}
-			}
-		case j.routed && !j.ended:
-			b.abandonJob(now, j, StopRouteGone)
-		}
-	}
-}
-
 // abandonJob finishes all remaining items of a job as dead.
 func (b *Batcher) abandonJob(now time.Time, j *job, reason StopReason) {
 	for _, it := range j.items {
@@ -384,7 +363,11 @@
 
 func (b *Batcher) tick(now time.Time) {
 	for _, j := range b.jobs {
-		if !j.ended && j.routed && j.tooOld(now) && j.unfinished() > 0 {
+		switch {
+		case j.ended:
+		case j.routeEnded(now) && j.unfinished() > 0:
+			b.abandonJob(now, j, StopRouteGone)
+		case j.routed && j.tooOld(now) && j.unfinished() > 0:
 			b.abandonJob(now, j, StopMaxAge)
 		}
 	}
--- a/service/batcher/cluster_test.go
+++ b/service/batcher/cluster_test.go
@@ -21,6 +21,7 @@
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/cataloguer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/matcher"
 	"celerygap.example/service/reserver"
 	"celerygap.example/service/storekeeper"
 )
@@ -134,9 +135,10 @@
 
 // cluster is several hosts with one store and one runner.
 type cluster struct {
-	t       *testing.T
-	network *network
-	store   *storekeeper.Store
+	catalogue *cataloguer.Cataloguer
+	t         *testing.T
+	network   *network
+	store     *storekeeper.Store
 	// counter, if set, replaces the store for the hosts that are added.
 	counter *readCounter
 	held    *heldStore
@@ -154,10 +156,17 @@
 }
 
 func newCluster(t *testing.T, pause time.Duration) *cluster {
-	return &cluster{
-		t: t, store: storekeeper.New(), run: &runner{pause: pause}, lastIncarnation: 1,
+	c := &cluster{
+		t: t, store: storekeeper.New(), run: &runner{pause: pause}, lastIncarnation: 1, catalogue: cataloguer.New(cataloguer.Config{}),
 		network: &network{handlers: make(map[identifier.HostID]map[string]connector.Handler), down: make(map[identifier.HostID]bool)},
 	}
+	c.setRoutes(1, batchEntry)
+	return c
+}
+
+// setRoutes puts a catalogue into effect at all hosts.
+func (c *cluster) setRoutes(revision identifier.Revision, entries ...codec.Entry) {
+	c.catalogue.Apply(&codec.Catalogue{Revision: revision, Entries: entries})
 }
 
 func (c *cluster) add(id identifier.HostID) *host {
@@ -184,8 +193,8 @@
 	}
 	d := batcher.NewDriver(batcher.DriverConfig{
 		Self: p.Self(), Incarnation: identifier.Incarnation(c.lastIncarnation), Keeper: batchkeeper.New(store), Runner: run, Memory: account,
-		Match:     func(string, string) (codec.Entry, bool) { return batchEntry, true },
-		Catalogue: cataloguer.New(cataloguer.Config{}), Upstreams: noUpstreams{}, Members: p, Peers: p, Timer: service,
+		Routes:    func() *matcher.Matcher { return matcher.New(c.catalogue.Current()) },
+		Catalogue: c.catalogue, Upstreams: noUpstreams{}, Members: p, Peers: p, Timer: service,
 		Log: logger.Discard(), SettleTime: 50 * time.Millisecond, ReviewInterval: cmp.Or(c.reviewInterval, 100*time.Millisecond),
 		KeepResults: c.keepResults, Rewards: c.rewards, MakeReward: func(codec.RewardCall) connector.PlainRequest { return connector.PlainRequest{} },
 		Score: func(connector.PlainResponse) string { return "" },
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -16,6 +16,7 @@
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/elector"
+	"celerygap.example/service/matcher"
 	"celerygap.example/service/reserver"
 )
 
@@ -48,8 +49,8 @@
 	Runner      connector.ItemRunner
 	// Rewards is the client for reward calls.
 	Rewards connector.PlainCaller
-	// Match returns the entry whose route serves a request.
-	Match func(host, path string) (codec.Entry, bool)
+	// Routes returns the routes of the catalogue in effect, or nil while there is none.
+	Routes func() *matcher.Matcher
 	// MakeReward converts a reward call to a request; Score extracts the score from its response, or returns "" if there
 	// is none.
 	MakeReward func(codec.RewardCall) connector.PlainRequest
@@ -133,8 +134,10 @@
 
 // ownedJob is the driver's state of a job that this host owns.
 type ownedJob struct {
-	head   batchkeeper.Head
-	job    codec.BatchJob
+	head batchkeeper.Head
+	job  codec.BatchJob
+	// route is the job's route as it was logged last.
+	route  jobRoute
 	chunks int
 	// textChunks is the number of chunks of saved texts in the store.
 	textChunks int
@@ -262,23 +265,6 @@
 	d.apply(time.Now(), d.routes())
 }
 
-// routes returns the entry in effect for each job that this host owns; d.mu must be held.
-func (d *Driver) routes() RoutesChanged {
-	event := RoutesChanged{
-		Entries:    make(map[identifier.BatchID]codec.Entry, len(d.owned)),
-		Priorities: make(map[identifier.CustomerName]*int),
-	}
-	for _, customer := range d.config.Catalogue.Current().Customers {
-		event.Priorities[customer.Name] = customer.Priority
-	}
-	for id, h := range d.owned {
-		if entry, ok := d.config.Match(h.job.Host, h.job.Path); ok && entry.Batch != nil {
-			event.Entries[id] = entry
-		}
-	}
-	return event
-}
-
 func (d *Driver) handle(event Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -419,7 +405,11 @@
 // attempt is sent after the end of ctx.
 func (d *Driver) reward(ctx context.Context, c StartReward) {
 	event := RewardEnded{Job: c.Job, Item: c.Item}
-	entry, ok := d.config.Match(c.Call.Host, c.Call.Path)
+	var entry codec.Entry
+	routes, ok := d.config.Routes(), false
+	if routes != nil {
+		entry, ok = routes.Match(c.Call.Host, c.Call.Path)
+	}
 	if ok {
 		event.Limit = defaultMaxAttempts
 		if entry.Route.MaxAttempts > 0 {
--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -33,9 +33,13 @@
 // JobDropped removes a job from the state machine, because another host owns it or the job has expired.
 type JobDropped struct{ Job identifier.BatchID }
 
-// RoutesChanged gives the entry in effect for each open job; the items of a job without one can no longer run.
+// RoutesChanged gives the entry in effect for each open job; the route of a job without one has been removed.
 type RoutesChanged struct {
 	Entries map[identifier.BatchID]codec.Entry
+	// Pending holds the jobs for which the catalogue is too old to say anything, so that nothing changes.
+	Pending map[identifier.BatchID]struct{}
+	// Moved holds the jobs that their routes no longer match. Their items stay in the pools of the former entry, if there is one.
+	Moved map[identifier.BatchID]struct{}
 	// Priorities holds the priorities of the customers; a nil one means that the customer has none.
 	Priorities map[identifier.CustomerName]*int
 }
--- a/service/batcher/harness_test.go
+++ b/service/batcher/harness_test.go
@@ -28,6 +28,7 @@
 	stopped map[batcher.RunID]batcher.StopReason
 	rewards []batcher.StartReward
 	appends []batcher.Append
+	events  identifier.EventNumber
 	// routes holds the entries of the jobs of submitStep.
 	routes map[identifier.BatchID]codec.Entry
 }
--- a/service/batcher/job.go
+++ b/service/batcher/job.go
@@ -90,9 +90,11 @@
 	// customerPriority is the priority of the customer in the configuration in effect; nil if it has none.
 	customerPriority *int
 	// routed is set once an entry has been in effect for the job; until then its items do not run.
-	routed      bool
-	submittedAt time.Time
-	items       []*item
+	routed bool
+	// routeRemovedAt is when the route of the job was found removed; zero while it is there.
+	routeRemovedAt time.Time
+	submittedAt    time.Time
+	items          []*item
 	// startOrder holds the items in the order in which they start, the longest expected text first.
 	startOrder []*item
 	byID       map[identifier.ItemID]*item
--- a/service/batcher/schedule.go
+++ b/service/batcher/schedule.go
@@ -24,6 +24,7 @@
 	for _, j := range open {
 		b.startRewards(now, j)
 	}
+	open = slices.DeleteFunc(open, func(j *job) bool { return !j.routeRemovedAt.IsZero() })
 	if t := newTurns(open, b.runs); t != nil {
 		t.start(func(s *starter) bool { return b.startNext(now, s) })
 		return
