dispatcher: a request stays with the route that matched it

Requests and reward calls now carry the route that matched them, and the entry is the one whose route matches the same requests.

--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -416,7 +416,7 @@
 			event.Limit = entry.Route.MaxAttempts
 		}
 		request := d.config.MakeReward(c.Call)
-		request.Entry = entry.Name
+		request.Entry, request.Route = entry.Name, entry.Route
 		request.Sound = true
 		response, err := d.config.Rewards.Call(ctx, request)
 		event.Failures = response.Failures
--- a/service/connector/request.go
+++ b/service/connector/request.go
@@ -63,6 +63,8 @@
 // PlainRequest is one call to a plain service.
 type PlainRequest struct {
 	Entry identifier.EntryName
+	// Route is the route that matched the request; nil if the caller named the entry itself.
+	Route *codec.RouteSpec
 	// ID is the caller's own id of the request, for logs.
 	ID             string
 	Host           string
--- a/service/dispatcher/generate.go
+++ b/service/dispatcher/generate.go
@@ -35,7 +35,7 @@
 
 // Generate runs a model request and passes its chunks to onChunk, which may be nil; its errors are *refuser.Refusal.
 func (d *Dispatcher) Generate(ctx context.Context, request connector.GenerateRequest, onChunk func(connector.Chunk) error) (connector.GenerateResult, error) {
-	j, refusal := d.newJob(request.Entry, true)
+	j, refusal := d.newJob(request.Entry, nil, true)
 	var result connector.GenerateResult
 	if refusal == nil {
 		result, refusal = j.generate(ctx, request, onChunk)
--- a/service/dispatcher/job.go
+++ b/service/dispatcher/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"celerygap.example/lib/asserter"
@@ -82,7 +83,7 @@
 
 // newJob looks up the entry of a request and counts the request; it refuses unknown entries and, while draining, all
 // requests. The job is never nil.
-func (d *Dispatcher) newJob(name identifier.EntryName, wantModel bool) (*job, *refuser.Refusal) {
+func (d *Dispatcher) newJob(name identifier.EntryName, route *codec.RouteSpec, wantModel bool) (*job, *refuser.Refusal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -92,7 +93,7 @@
 	if d.draining {
 		return j, j.refuse(refuser.Draining, shortRetryAfter, "this host is stopping")
 	}
-	entry, ok := findEntry(catalogue, name)
+	entry, ok := findEntry(catalogue, name, route)
 	j.model = modelOf(catalogue, entry)
 	j.pool = d.choosePool(catalogue, entry)
 	if !ok || wantModel != (j.model != nil) || j.pool == "" {
@@ -106,20 +107,27 @@
 	j.counted = true
 	d.running++
 	d.requests++
-	d.demand[name]++
-	d.config.Meter.Requested(string(name))
+	d.demand[entry.Name]++
+	d.config.Meter.Requested(string(entry.Name))
 	return j, nil
 }
 
-func findEntry(catalogue *codec.Catalogue, name identifier.EntryName) (codec.Entry, bool) {
+// findEntry returns the entry with a name or, for a request that a route matched, the one whose route matches the same requests: the
+// catalogue may have changed since, and the name may belong to another route.
+func findEntry(catalogue *codec.Catalogue, name identifier.EntryName, route *codec.RouteSpec) (codec.Entry, bool) {
 	for _, entry := range catalogue.Entries {
-		if entry.Name == name {
+		if route == nil && entry.Name == name || route != nil && sameRoute(entry.Route, route) {
 			return entry, true
 		}
 	}
 	return codec.Entry{}, false
 }
 
+// sameRoute reports whether two routes match the same requests.
+func sameRoute(x, y *codec.RouteSpec) bool {
+	return x != nil && x.PathPrefix == y.PathPrefix && strings.EqualFold(x.Host, y.Host)
+}
+
 // setDeadline sets the deadline from the entry's limit, or the default without one; a caller may only shorten it.
 func (j *job) setDeadline(wanted time.Time) {
 	limit := j.d.config.Deadline
--- a/service/dispatcher/plain.go
+++ b/service/dispatcher/plain.go
@@ -30,7 +30,7 @@
 
 // Call runs a call to a plain service or a route; its errors are *refuser.Refusal.
 func (d *Dispatcher) Call(ctx context.Context, request connector.PlainRequest) (connector.PlainResponse, error) {
-	j, refusal := d.newJob(request.Entry, false)
+	j, refusal := d.newJob(request.Entry, request.Route, false)
 	j.requestID = request.ID
 	j.expectStart(request.Customer, request.Sound)
 	var response connector.PlainResponse
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -44,7 +44,7 @@
 // Stream passes the events of a stream to sink; its errors are *refuser.Refusal. The response is not nil if the
 // upstream returned something other than a stream.
 func (d *Dispatcher) Stream(ctx context.Context, request connector.PlainRequest, sink connector.StreamSink) (*connector.PlainResponse, error) {
-	j, refusal := d.newJob(request.Entry, false)
+	j, refusal := d.newJob(request.Entry, request.Route, false)
 	j.requestID = request.ID
 	j.expectStart(request.Customer, request.Sound)
 	s := &stream{job: j, request: request, sink: sink}
