exchanger: no connection carries two requests with one id

An engine had sent an answer again where the next one on the connection was due.

Cause: the id that tells an extra answer from the one that is due was the same in both, since runs of an item, reward calls and attempts repeat ids and shared kept connections. Evidence: a server that repeats one answer; on the second call with the id got the stamp of the first, and three runs counted three failures of two.

Change: each connection remembers its latest 128 ids; a request whose id an open connection has carried goes to another pool of connections, of which there are three for each upstream, or to a connection of its own. The id is compared before leaving, load, limit, 421 and Not-Run are believed, and a connection with a foreign answer is closed.

--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -54,20 +54,28 @@
 	Claim() error
 }
 
-// Exchanger sends HTTP requests to upstreams over connections that it reuses. It never sends a request twice.
+// Exchanger sends HTTP requests to upstreams over connections that it reuses. It never sends a request twice, nor two requests with one
+// id on the same connection.
 type Exchanger struct {
-	open      connector.DialFunc
-	relays    func(address string) bool
-	shared    *http.Transport
+	open   connector.DialFunc
+	relays func(address string) bool
+	ids    *carriedIDs
+	// shared holds the transport of each lane.
+	shared    [lanes]*http.Transport
 	singleUse *http.Transport
 }
 
 // Options are the options of one request.
 type Options struct {
+	// ID is the id that the upstream repeats in its response; empty for a request without one.
+	ID string
 	// SingleUse sends the request on a new connection, which is closed afterwards.
 	SingleUse bool
 	// OnSent is called once, before the first byte is written.
 	OnSent func()
+	// Check returns an error for a response that does not belong to the request; it may be nil. The connection is then closed, because
+	// the response that does may follow.
+	Check func(*http.Response) error
 	// OnConnection is called with the connection that carries the request; it may be nil.
 	OnConnection func(*Connection)
 }
@@ -75,12 +83,14 @@
 // New returns an exchanger.
 func New(config Config) *Exchanger {
 	config = withDefaults(config)
-	x := &Exchanger{open: config.Dial, relays: config.Relays}
+	x := &Exchanger{open: config.Dial, relays: config.Relays, ids: newCarriedIDs()}
 	if x.open == nil {
 		x.open = (&net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}).DialContext
 	}
-	x.shared = x.newTransport(config, false)
-	x.singleUse = x.newTransport(config, true)
+	for lane := range x.shared {
+		x.shared[lane] = x.newTransport(config, lane, false)
+	}
+	x.singleUse = x.newTransport(config, 0, true)
 	return x
 }
 
@@ -102,9 +112,11 @@
 
 // newTransport returns a transport that neither decompresses nor uses a proxy: a body is passed on as the upstream wrote
 // it.
-func (x *Exchanger) newTransport(config Config, singleUse bool) *http.Transport {
+func (x *Exchanger) newTransport(config Config, lane int, singleUse bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         x.dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return x.dial(ctx, network, address, lane)
+		},
 		DisableCompression:  true,
 		DisableKeepAlives:   singleUse,
 		IdleConnTimeout:     config.IdleTimeout,
@@ -114,17 +126,19 @@
 	}
 }
 
-func (x *Exchanger) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (x *Exchanger) dial(ctx context.Context, network, address string, lane int) (net.Conn, error) {
 	conn, err := x.open(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: conn}, nil
+	return &watchedConn{Conn: conn, address: address, lane: lane, ids: x.ids}, nil
 }
 
 // Close closes the idle connections.
 func (x *Exchanger) Close() {
-	x.shared.CloseIdleConnections()
+	for _, shared := range x.shared {
+		shared.CloseIdleConnections()
+	}
 	x.singleUse.CloseIdleConnections()
 }
 
@@ -137,21 +151,35 @@
 	return conn.Close()
 }
 
-// Do sends the request with the given body and returns the response; its errors are *connector.UpstreamError.
+// Do sends the request with the given body and returns the response; its errors are *connector.UpstreamError or those of options.Check.
 func (x *Exchanger) Do(request *http.Request, body []byte, options Options) (*http.Response, error) {
-	transport := x.shared
-	if options.SingleUse || x.relays != nil && x.relays(request.URL.Host) {
-		transport = x.singleUse
+	transport := x.singleUse
+	lane, ok := x.ids.lane(request.URL.Host, options.ID)
+	if ok && !options.SingleUse && (x.relays == nil || !x.relays(request.URL.Host)) {
+		transport = x.shared[lane]
+	} else {
+		// No other request follows on the connection.
+		options.ID = ""
 	}
-	response, state, err := roundTrip(transport, request, body, options)
+	response, state, err := x.roundTrip(transport, request, body, options)
 	if err != nil && state.abandon() && state.reused.Load() && request.Context().Err() == nil {
 		// The idle connection was closed before anything was written to it, or takes no further exchange, so a new one is tried.
-		response, state, err = roundTrip(x.singleUse, request, body, options)
+		options.ID = ""
+		response, state, err = x.roundTrip(x.singleUse, request, body, options)
 	}
 	if err != nil {
 		return nil, classify(request, err, !state.abandon())
 	}
 	conn := state.conn.Load()
+	if options.Check != nil {
+		if err := options.Check(response); err != nil {
+			_ = response.Body.Close()
+			if conn != nil {
+				_ = conn.Close()
+			}
+			return nil, err
+		}
+	}
 	if conn != nil && options.OnConnection != nil {
 		options.OnConnection(&conn.connection)
 	}
@@ -170,12 +198,12 @@
 // Close also closes the connection.
 func (b *closingBody) Close() error { return errors.Join(b.ReadCloser.Close(), b.conn.Close()) }
 
-func roundTrip(transport *http.Transport, request *http.Request, body []byte, options Options) (*http.Response, *exchangeState, error) {
+func (x *Exchanger) roundTrip(transport *http.Transport, request *http.Request, body []byte, options Options) (*http.Response, *exchangeState, error) {
 	state := &exchangeState{onSent: options.OnSent}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		state.reused.Store(info.Reused)
 		if conn, ok := info.Conn.(*watchedConn); ok {
-			if conn.claim() != nil && state.abandon() {
+			if (conn.claim() != nil || !x.ids.add(conn, options.ID)) && state.abandon() {
 				state.reused.Store(true)
 			}
 			state.conn.Store(conn)
--- a/service/exchanger/watchedconn.go
+++ b/service/exchanger/watchedconn.go
@@ -55,6 +55,13 @@
 	net.Conn
 	exchange   atomic.Pointer[exchangeState]
 	connection Connection
+	// address is that of the upstream, and lane the pool to which the connection belongs.
+	address string
+	lane    int
+	ids     *carriedIDs
+	// carried holds hashes of the ids of the latest requests, of which nextCarried is replaced next; both are guarded by ids.
+	carried     []uint64
+	nextCarried int
 	// writing is locked during a write, and writeErr is the error of the last one that failed.
 	writing  sync.Mutex
 	writeErr error
@@ -112,6 +119,7 @@
 // Close notes that the connection is closed.
 func (c *watchedConn) Close() error {
 	c.connection.closed.Store(true)
+	c.ids.forget(c)
 	return c.Conn.Close()
 }
 
--- a/service/plainconnector/plainconnector.go
+++ b/service/plainconnector/plainconnector.go
@@ -72,15 +72,15 @@
 	if err != nil {
 		return connector.PlainResponse{}, &connector.UpstreamError{Failure: connector.FailureConnectFailed, Err: err}
 	}
-	options := exchanger.Options{SingleUse: call.SingleUse, OnSent: call.OnSent}
+	options := exchanger.Options{
+		ID: string(call.Attempt), SingleUse: call.SingleUse, OnSent: call.OnSent,
+		Check: func(response *http.Response) error { return checkAttempt(response, call) },
+	}
 	response, err := c.exchange.Do(request, call.Body, options)
 	if err != nil {
 		return connector.PlainResponse{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := checkAttempt(response, call); err != nil {
-		return connector.PlainResponse{}, err
-	}
 	if exchanger.NotStarted(response) {
 		return connector.PlainResponse{}, exchanger.FailStatus(response)
 	}
