--- a/service/batcher/batcher.go
+++ b/service/batcher/batcher.go
@@ -241,6 +241,7 @@
 	r.measure(now)
 	r.receivedEvent = true
 	r.engine.refusals = 0
+	r.engine.unproven = false
 	r.lastEventAt = now
 	r.engine.seenVersions[j.job.Model] = max(r.engine.seenVersions[j.job.Model], e.Event.Version)
 	switch {
@@ -320,14 +321,18 @@
 		}
 	case connector.FailureNotStarted:
 		b.pauseRefusing(now, r.engine)
-	case connector.FailureBindingMismatch, connector.FailureTruncated, connector.FailureBodyUnavailable:
+	case connector.FailureBodyUnavailable:
 		it.notBefore = now.Add(runRetryDelay)
+	case connector.FailureBindingMismatch, connector.FailureTruncated:
+		it.notBefore = now.Add(runRetryDelay)
+		r.engine.unproven = r.engine.unproven || !r.receivedEvent
 	case connector.FailureTooLarge:
 		// No text of an item is that long, so none of it is kept.
 		it.clear()
 		it.notBefore = now.Add(runRetryDelay)
 		r.engine.pause(now, failedPause)
 	default:
+		r.engine.unproven = r.engine.unproven || !r.receivedEvent
 		r.engine.pause(now, failedPause)
 	}
 }
--- a/service/batcher/batcher_test.go
+++ b/service/batcher/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -361,3 +362,26 @@
 	require.Len(t, x.appends, 1)
 	require.Equal(t, codec.ResultStateDone, x.appends[0].Results[0].State)
 }
+
+// Guards against an engine in trouble that gets a run for each of its slots again and again, each of which costs this host as much as
+// the engine sends.
+func TestEngineWithoutAnswersGetsOneRunAtATime(t *testing.T) {
+	for _, failure := range []connector.Failure{connector.FailureConnectionLost, connector.FailureBindingMismatch} {
+		x := newHarness(t)
+		x.engines(engine("a", 2, 8))
+		var items []codec.BatchItem
+		for i := range 8 {
+			items = append(items, item(identifier.ItemID(fmt.Sprint(i)), 0))
+		}
+		x.openItems(codec.BatchSpec{}, items...)
+		require.Len(t, x.runs, 8)
+		for run := range x.runs {
+			x.fail(run, failure)
+		}
+		x.advanceClock(1100 * time.Millisecond)
+		require.Len(t, x.runs, 9, "one run shows whether the engine works again")
+		x.event(x.lastRun(), 1, 2)
+		x.advanceClock(100 * time.Millisecond)
+		require.Len(t, x.runs, 16)
+	}
+}
--- a/service/batcher/engine.go
+++ b/service/batcher/engine.go
@@ -40,6 +40,8 @@
 	usableAt time.Time
 	// refusals counts the refused runs since the last one that started.
 	refusals int
+	// unproven is set by a run that failed before its first event, until a run receives one. Such an engine gets one run at a time.
+	unproven bool
 	// eventInterval is the moving average of the time between two events of a run; measuredAt is its last update.
 	eventInterval time.Duration
 	measuredAt    time.Time
@@ -141,7 +143,7 @@
 
 // serves reports whether the engine may run items of a job now.
 func (e *engine) serves(now time.Time, j *job) bool {
-	return !now.Before(e.usableAt) && e.suits(now, j)
+	return !now.Before(e.usableAt) && !(e.unproven && e.inFlight > 0) && e.suits(now, j)
 }
 
 // suits reports whether the engine may run items of a job, now or after a pause.
