matcher: an older catalogue that holds a job's route is followed

An owner that lags behind the host which accepted a job waited for a newer catalogue even if it knew the job's route. Only a missing route needs one.

--- a/service/batcher/events.go
+++ b/service/batcher/events.go
@@ -36,7 +36,7 @@
 // RoutesChanged gives the entry in effect for each open job; the route of a job without one has been removed.
 type RoutesChanged struct {
 	Entries map[identifier.BatchID]codec.Entry
-	// Pending holds the jobs for which the catalogue is too old to say anything, so that nothing changes.
+	// Pending holds the jobs whose routes an old catalogue may lack because they were added since, so that nothing changes.
 	Pending map[identifier.BatchID]struct{}
 	// Moved holds the jobs that their routes no longer match. Their items stay in the pools of the former entry, if there is one.
 	Moved map[identifier.BatchID]struct{}
--- a/service/matcher/accepted.go
+++ b/service/matcher/accepted.go
@@ -24,7 +24,7 @@
 
 // Standings of a route.
 const (
-	// StandingPending means that the catalogue is older than the route, so that it says nothing about it.
+	// StandingPending means that the catalogue is older than the work and lacks the route, which may have been added since.
 	StandingPending Standing = "pending"
 	StandingKept    Standing = "kept"
 	// StandingMoved means that the route has another host or prefix, which no longer match the work. Its pools may be ones to which
@@ -37,9 +37,6 @@
 // with its host and prefix is left, or else one with its name; a longer prefix that is added later does not take the job over. The
 // entry has no Batch if the route no longer accepts jobs.
 func (m *Matcher) Follow(accepted Accepted) (codec.Entry, Standing) {
-	if m.revision < accepted.Revision {
-		return codec.Entry{}, StandingPending
-	}
 	candidates := m.entries(accepted.Host)
 	if accepted.PathPrefix != "" {
 		for _, entry := range candidates {
@@ -53,6 +50,9 @@
 			return entry, StandingKept
 		}
 	}
+	if m.revision < accepted.Revision {
+		return codec.Entry{}, StandingPending
+	}
 	for _, entries := range m.hosts {
 		for _, entry := range entries {
 			if entry.Name == accepted.Entry && entry.Batch != nil {
--- a/service/matcher/accepted_test.go
+++ b/service/matcher/accepted_test.go
@@ -41,6 +41,7 @@
 		"other kind":                  {accepted, 5, []codec.Entry{route("r", "a.example", "/r/")}, "r", matcher.StandingKept},
 		"plain route in its place":    {accepted, 5, []codec.Entry{route("y", "a.example", "/r/")}, "", matcher.StandingRemoved},
 		"removed":                     {accepted, 5, []codec.Entry{batchRoute("x", "a.example", "/r/jobs/")}, "", matcher.StandingRemoved},
+		"older catalogue with it":     {accepted, 3, []codec.Entry{own}, "r", matcher.StandingKept},
 		"older catalogue":             {accepted, 3, []codec.Entry{batchRoute("x", "a.example", "/")}, "", matcher.StandingPending},
 	} {
 		entry, standing := matcher.New(&codec.Catalogue{Revision: c.revision, Entries: c.entries}).Follow(c.accepted)
