--- a/service/batcher/route.go
+++ b/service/batcher/route.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// applyEntry sets the entry under which the items run. The terms for batch jobs and, after a move of the route, the pools are those of
-// the former entry if the new one has none that apply.
+// applyEntry sets the entry under which the items run. A route for plain requests has no terms for batch jobs, so those of the former
+// entry stay; so do its pools if the route was moved, since the new ones may never have been allowed for the items.
 func (j *job) applyEntry(entry codec.Entry, moved bool) {
 	if entry.Batch == nil {
 		entry.Batch = j.entry.Batch
--- a/service/exchanger/carried.go
+++ b/service/exchanger/carried.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// lanes is the number of separate pools of kept connections. A request whose id an open connection of one lane has carried goes
-	// to the next one, and after the last one to a connection of its own.
+	// lanes is the number of pools of kept connections to each upstream. A request whose id an open connection of one lane has
+	// carried goes to the next lane, and after the last one to a connection of its own.
 	lanes = 3
 	// maxCarried bounds the ids that are remembered of one connection, the latest ones.
 	maxCarried = 128
 )
 
-// carriedIDs is the ids of the requests that each open connection has carried. An upstream may send a response again where the next one
-// on the connection is due, and only the id tells the two apart; so no connection carries an id twice.
+// carriedIDs keeps a connection from carrying two requests with one id. An upstream may send a response again where the next one on the
+// connection is due, and only the id tells the two apart.
 type carriedIDs struct {
 	seed maphash.Seed
 
