--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -80,7 +80,7 @@
 	JobUnloaded           Event = 6124
 	PageBehind            Event = 6125
 	PageWithoutResults    Event = 6126
-	JobRouteChanged       Event = 6127
+	JobRouteChanged       Event = 6128
 	ResultTooLarge        Event = 6127
 	OrderFailed           Event = 7001
 	LeaseAcquired         Event = 7002
