acceptor: listeners bound what their clients hold

Callers saw a host run out of memory or of descriptors, and their requests end with it, when many clients held parts of heads or idle connections.

Cause: net/http parses a head while it arrives, so that 60 KiB of short lines become a megabyte of maps, and the limit of the configuration was checked when the head was complete. Every bound was one of a single connection, and nothing bounded their number. header_timeout_ms and idle_timeout_ms did not reach the listeners; the service's own program had the library's 1 MB a head.

Change: service/acceptor opens all listeners of both programs. Limits are read anew for each head. Bodies must come and answers be read within the idle limit, and the slowest body is given up when memory for callers is needed. It works because what is held before a request runs is counted before it is allocated, and because what yields was not passed on, so a refusal or a closed connection stays true.

Related listeners with the same cause: readiness, metrics, the service's own program.

--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -47,6 +47,7 @@
 	OriginCallFailed      Event = 4012
 	UpstreamPathLost      Event = 4013
 	UpstreamPathRegained  Event = 4014
+	ConnectionsEnded      Event = 4015
 	HostReportedEmpty     Event = 1009
 	SettingsReloaded      Event = 1010
 	LinesDropped          Event = 1011
@@ -140,6 +141,7 @@
 	{OriginCallFailed, "call about the origin of a stream failed", "A host did not confirm the record of which software version began a stream, or a lookup of it; other hosts hold copies.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{UpstreamPathLost, "path to upstreams lost", "This host cannot open connections to several upstreams that other hosts reach, so its connections go through other hosts.", "Check this host's network."},
 	{UpstreamPathRegained, "path to upstreams regained", "This host opened a connection to an upstream itself again.", "No action is needed."},
+	{ConnectionsEnded, "connections ended", "A listener closed connections or refused requests, because clients broke its limits or took all of its connections. The line has the listener, the limit of its connections, their number in each state, and the ended ones since the last line by reason.", "No action is needed if callers are served; otherwise find the clients, or raise --max-fds or the memory of the host."},
 	{UpstreamUnreadable, "store entry unreadable", "The store's entry of an upstream or of a weight version could not be decoded and is ignored.", "Correct the program that writes the entry."},
 	{PermitOutcomeUnknown, "permit outcome unknown", "The store's response to an operation on permits was lost, so this host does not know whether the operation took effect; it reads the permits back.", "No action is needed."},
 	{ShardTaken, "permit shard taken over", "This host began to grant the permits of a shard.", "No action is needed."},
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -48,6 +48,8 @@
 	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
 	{"celerygap_peer_calls", "calls", []string{"method", "result"}, "Calls to other hosts of the service."},
 	{"celerygap_caller_memory", "bytes", []string{"kind"}, "Memory that is reserved for callers: used, peak since the start, and limit."},
+	{"celerygap_connections", "connections", []string{"listener", "state"}, "Open connections of clients by what they are doing: silent, partial (a part of a head has arrived), receiving (a body is arriving), running or idle."},
+	{"celerygap_connections_ended", "connections", []string{"listener", "reason"}, "Connections that a listener closed, and requests that it refused, because of its limits."},
 	{"celerygap_engines_wanted", "engines", []string{"pool", "model"}, "Engines that the demand of a model's batch jobs calls for, on the holder of the lease for orders."},
 	{"celerygap_engines_reassigned", "engines", []string{"pool", "model"}, "Engines moved to a model because of the demand of batch jobs."},
 	{"celerygap_engine_orders", "calls", []string{"pool", "zone", "outcome"}, "Orders of engines sent to the platform."},
@@ -79,6 +81,7 @@
 	counts    metric.Int64Counter
 	peer      metric.Int64Counter
 	bytes     metric.Int64Counter
+	ended     metric.Int64Counter
 	revision  metric.Int64Gauge
 	placement placementInstruments
 }
@@ -117,6 +120,7 @@
 	m.counts = b.counter("celerygap_usage_count_calls")
 	m.peer = b.counter("celerygap_peer_calls")
 	m.bytes = b.counter("celerygap_peer_bytes")
+	m.ended = b.counter("celerygap_connections_ended")
 	m.wait = b.floatCounter("celerygap_trainer_wait")
 	m.revision = b.gauge("celerygap_catalogue_revision")
 	m.placement = b.placement()
@@ -145,6 +149,30 @@
 	return annotator.Wrap("create metric of memory", "self", err)
 }
 
+// ObserveConnections reports the connections of the listeners, by listener and state, whenever the metrics are read.
+func (m *Meter) ObserveConnections(read func() map[string]map[string]int64) error {
+	b := builder{meter: m.provider.Meter("celerygap")}
+	text, _ := describe("celerygap_connections")
+	gauge, err := b.meter.Int64ObservableGauge("celerygap_connections", metric.WithDescription(text))
+	if err != nil {
+		return annotator.Wrap("create metric of connections", "self", err)
+	}
+	_, err = b.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for listener, states := range read() {
+			for state, count := range states {
+				o.ObserveInt64(gauge, count, metric.WithAttributes(attribute.String("listener", listener), attribute.String("state", state)))
+			}
+		}
+		return nil
+	}, gauge)
+	return annotator.Wrap("create metric of connections", "self", err)
+}
+
+// ConnectionEnded counts a connection that a listener closed, or a request that it refused, because of its limits.
+func (m *Meter) ConnectionEnded(listener, reason string) {
+	m.ended.Add(context.Background(), 1, metric.WithAttributes(attribute.String("listener", listener), attribute.String("reason", reason)))
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/lib/refuser/reasons.go
+++ b/lib/refuser/reasons.go
@@ -17,6 +17,8 @@
 	JobIDTaken             Reason = "job_id_taken"
 	BodyTooLarge           Reason = "body_too_large"
 	HeaderTooLarge         Reason = "header_too_large"
+	BodyTooSlow            Reason = "body_too_slow"
+	ConnectionsFull        Reason = "connections_full"
 	RateLimited            Reason = "rate_limited"
 	QueueFull              Reason = "queue_full"
 	DeadlineTooShort       Reason = "deadline_too_short"
@@ -83,6 +85,8 @@
 	{JobIDTaken, http.StatusConflict, "The id of the batch job is already in use."},
 	{BodyTooLarge, http.StatusRequestEntityTooLarge, "The body exceeds the entry's limit."},
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, "The header exceeds the configured limit."},
+	{BodyTooSlow, http.StatusRequestTimeout, "The body did not arrive in time, or arrived slowly while other requests needed its memory."},
+	{ConnectionsFull, http.StatusServiceUnavailable, "All connections of this host have a request running."},
 	{RateLimited, http.StatusTooManyRequests, "The entry's request rate is used up."},
 	{QueueFull, http.StatusServiceUnavailable, "The entry's queue is full."},
 	{DeadlineTooShort, http.StatusServiceUnavailable, "The request cannot be finished before its deadline."},
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -5,8 +5,8 @@
 	cryptorand "crypto/rand"
 	"encoding/json"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +20,7 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
+	"celerygap.example/service/acceptor"
 	"celerygap.example/service/authorizer"
 	"celerygap.example/service/batcher"
 	"celerygap.example/service/binder"
@@ -39,13 +40,6 @@
 )
 
 const (
-	// headerTimeout bounds the time in which a caller must send its request header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection without requests stays open. It is longer than any time that the
-	// platform sets, because closing the connection early would lose a request that is on its way.
-	idleTimeout = 5 * time.Minute
-	// maxHeaderBytes bounds what is read of a header before the configured limit is checked.
-	maxHeaderBytes = 64 << 10
 	// firstSettleTime, minSettleTime and maxSettleTime are the times of settled.
 	firstSettleTime = 2 * time.Second
 	minSettleTime   = 300 * time.Millisecond
@@ -65,6 +59,8 @@
 	ReadyListen   string
 	PeerListen    string
 	MetricsListen string
+	// Connections divides the connections of clients among the listeners.
+	Connections acceptor.Shares
 	// Seeds are the peer addresses of some other hosts.
 	Seeds []string
 	// Capacity is the processor time that this host may use, in thousandths of a core; 0 means that it is not known. Tasks of
@@ -176,8 +172,10 @@
 	Duties connector.DutyCalls
 	// DialUpstream opens a connection to an upstream over this host's own links.
 	DialUpstream connector.DialFunc
-	// Memory bounds what the process holds for callers; nil means no limit.
+	// Memory bounds what the process holds for callers, Heads what it holds of incomplete and of large request heads; nil means no
+	// limit.
 	Memory *reserver.Account
+	Heads  *reserver.Account
 	// NewUpstreams returns the clients of the upstreams, which tell the observer what responses show. They open the connections
 	// of requests in network.
 	NewUpstreams func(observer connector.Observer, network connector.Network) Upstreams
@@ -220,7 +218,7 @@
 }
 
 type listeners struct {
-	caller, ready, peer, metrics net.Listener
+	caller, ready, peer, metrics *acceptor.Listener
 }
 
 // New listens on the configured addresses and builds the parts; nothing runs before Run.
@@ -235,38 +233,65 @@
 		return nil, err
 	}
 	h.build()
+	if h.config.Memory != nil {
+		h.config.Memory.OnFull(h.listeners.caller.ShedSlowBody)
+	}
+	if h.config.Meter != nil {
+		if err := h.config.Meter.ObserveConnections(h.connections); err != nil {
+			h.closeListeners()
+			return nil, err
+		}
+	}
 	return h, nil
 }
 
 func (h *Host) listen() error {
 	settings := h.config.Settings
+	shares := settings.Connections
 	for _, want := range []struct {
-		address  string
-		listener *net.Listener
-		step     annotator.Step
+		listener *(*acceptor.Listener)
+		config   acceptor.Config
 	}{
-		{settings.Listen, &h.listeners.caller, "listen for callers"},
-		{settings.ReadyListen, &h.listeners.ready, "listen for readiness checks"},
-		{settings.PeerListen, &h.listeners.peer, "listen for other hosts"},
-		{settings.MetricsListen, &h.listeners.metrics, "listen for metrics"},
+		{&h.listeners.caller, acceptor.Config{Name: acceptor.Callers, Address: settings.Listen, Connections: shares.Callers, Limits: h.callerLimits}},
+		{&h.listeners.ready, acceptor.Config{Name: acceptor.Readiness, Address: settings.ReadyListen, Connections: shares.Readiness}},
+		{&h.listeners.peer, acceptor.Config{Name: acceptor.Peers, Address: settings.PeerListen, Connections: shares.Peers, Unframed: true}},
+		{&h.listeners.metrics, acceptor.Config{Name: acceptor.Metrics, Address: settings.MetricsListen, Connections: shares.Metrics}},
 	} {
-		if want.address == "" {
+		if want.config.Address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", want.address)
-		if err != nil {
-			return annotator.Wrap(want.step, annotator.Peer(want.address), err)
+		want.config.Heads, want.config.Log, want.config.Meter = h.config.Heads, h.log, h.config.Meter
+		var err error
+		if *want.listener, err = acceptor.Listen(want.config); err != nil {
+			return err
 		}
-		*want.listener = listener
 	}
 	return nil
 }
 
+// callerLimits returns what the configuration in effect lets callers send.
+func (h *Host) callerLimits() acceptor.Limits {
+	limits := h.catalogue.Current().CallerLimits
+	return acceptor.Limits{HeadBytes: limits.HeaderBytes, HeadTime: limits.HeaderTimeout.Std(), IdleTime: limits.IdleTimeout.Std()}
+}
+
+// connections returns the number of connections by listener and state.
+func (h *Host) connections() map[string]map[string]int64 {
+	counts := make(map[string]map[string]int64)
+	for _, listener := range h.listeners.all() {
+		counts[listener.Name()] = listener.Counts()
+	}
+	return counts
+}
+
+// all returns the listeners that are open.
+func (l listeners) all() []*acceptor.Listener {
+	return slices.DeleteFunc([]*acceptor.Listener{l.caller, l.ready, l.peer, l.metrics}, func(one *acceptor.Listener) bool { return one == nil })
+}
+
 func (h *Host) closeListeners() {
-	for _, listener := range []net.Listener{h.listeners.caller, h.listeners.ready, h.listeners.peer, h.listeners.metrics} {
-		if listener != nil {
-			_ = listener.Close()
-		}
+	for _, listener := range h.listeners.all() {
+		_ = listener.Close()
 	}
 }
 
@@ -314,7 +339,7 @@
 		Match: h.matchWithKeys, ConfirmedAt: h.configuration.ConfirmedAt, Plain: h.dispatcher, Streams: h.dispatcher, Batches: h.batcher,
 		Catalogue: h.catalogue, Ready: h.ready, Log: h.log, Meter: h.config.Meter,
 	})
-	h.callers = newServer(h.front.Handler())
+	h.callers = acceptor.NewServer(h.listeners.caller, h.front.Handler())
 }
 
 // isUpstream reports whether an address is that of a usable upstream.
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -11,6 +11,7 @@
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
+	"celerygap.example/service/acceptor"
 	"celerygap.example/service/batcher"
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
@@ -121,10 +122,10 @@
 		{Name: "upstreams", Run: h.upstreams.Run},
 		{Name: "retirer", Run: h.newRetirer().Run},
 		serve("callers", h.listeners.caller, h.callers),
-		serve("readiness", h.listeners.ready, newServer(h.front.ReadyHandler())),
+		serve("readiness", h.listeners.ready, acceptor.NewServer(h.listeners.ready, h.front.ReadyHandler())),
 	}
 	if h.listeners.metrics != nil {
-		duties = append(duties, serve("metrics", h.listeners.metrics, newServer(h.config.Meter.Handler())))
+		duties = append(duties, serve("metrics", h.listeners.metrics, acceptor.NewServer(h.listeners.metrics, h.config.Meter.Handler())))
 	}
 	if h.scaler != nil {
 		duties = append(duties, grouper.Duty{Name: "scaler", Run: h.scaler.Run})
@@ -132,10 +133,6 @@
 	return append(append(duties, h.singletonDuties()...), h.lister.Duties()...)
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
 // serve returns the duty of one HTTP server.
 func serve(name string, listener net.Listener, server *http.Server) grouper.Duty {
 	return grouper.Duty{Name: "http " + name, Run: func(ctx context.Context) error {
--- a/service/reserver/reserver.go
+++ b/service/reserver/reserver.go
@@ -55,6 +55,8 @@
 	mu   sync.Mutex
 	used identifier.Bytes
 	peak identifier.Bytes
+	// onFull is called when a reservation does not fit; it may be nil.
+	onFull func()
 	// waiting holds the large reservations that wait, the oldest first.
 	waiting []*waiter
 	// hold is the average time for which large reservations are held.
@@ -84,6 +86,13 @@
 	return &Account{config: config, hold: minRetryAfter}
 }
 
+// OnFull sets a function that is called when a reservation has to wait or is refused. It may release others.
+func (a *Account) OnFull(call func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.onFull = call
+}
+
 // Limit returns the limit, or 0 if there is none.
 func (a *Account) Limit() identifier.Bytes {
 	if a == nil {
@@ -145,9 +154,12 @@
 		a.mu.Unlock()
 		return nil
 	}
+	onFull := a.onFull
 	if len(a.waiting) >= a.config.MaxWaiting {
-		defer a.mu.Unlock()
-		return a.full(size)
+		err := a.full(size)
+		a.mu.Unlock()
+		call(onFull)
+		return err
 	}
 	w := &waiter{size: size, granted: make(chan struct{})}
 	if small {
@@ -156,6 +168,7 @@
 		a.waiting = append(a.waiting, w)
 	}
 	a.mu.Unlock()
+	call(onFull)
 	limit := time.NewTimer(a.config.MaxWait)
 	defer limit.Stop()
 	select {
@@ -179,6 +192,12 @@
 	return err
 }
 
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
 // fits reports whether there is room; a.mu must be held.
 func (a *Account) fits(size identifier.Bytes) bool {
 	room := a.config.Limit
--- a/service/supervisor/supervisor.go
+++ b/service/supervisor/supervisor.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -16,15 +14,15 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
+	"celerygap.example/service/acceptor"
 	"celerygap.example/service/authenticator"
 	"celerygap.example/service/configurer"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/reserver"
 	"celerygap.example/service/storeconnector"
 )
 
 const (
-	// headerTimeout bounds the time in which a caller must send its request header.
-	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's connection without requests stays open.
 	idleTimeout = 2 * time.Minute
 	// leaveTimeout bounds the announcement of a planned stop to other hosts.
@@ -49,8 +47,10 @@
 	log      *logger.Logger
 	timer    *timer.Service
 	meter    *meter.Meter
-	listener net.Listener
-	peers    net.Listener
+	listener *acceptor.Listener
+	peers    *acceptor.Listener
+	// heads is the account of request heads, and of messages from connections whose other end is not known.
+	heads    *reserver.Account
 	http     *http.Server
 	identity identities
 	parts    parts
@@ -83,6 +83,9 @@
 	if err := h.listen(); err != nil {
 		return err
 	}
+	if err := h.meter.ObserveConnections(h.connections); err != nil {
+		return err
+	}
 	store := h.config.Store
 	if store == nil {
 		if store, err = storeconnector.New(storeconnector.Config{BaseURL: h.config.Settings.StoreURL, Meter: h.meter}); err != nil {
@@ -90,7 +93,7 @@
 		}
 	}
 	h.parts = h.build(store)
-	h.http = &http.Server{Handler: h.parts.server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.http = acceptor.NewServer(h.listener, h.parts.server.Handler())
 	return h.writeAddresses()
 }
 
@@ -110,21 +113,32 @@
 }
 
 func (h *Host) listen() error {
-	var err error
-	if h.listener, err = net.Listen("tcp", h.config.Settings.Listen); err != nil {
-		return annotator.Wrap("listen for callers", annotator.Peer(h.config.Settings.Listen), err)
+	shares := acceptor.Divide(acceptor.MaxDescriptors(), 0)
+	h.heads = acceptor.NewHeadAccount(0)
+	callers := acceptor.Config{
+		Name: acceptor.Callers, Address: h.config.Settings.Listen, Connections: shares.Callers, Heads: h.heads, Log: h.log, Meter: h.meter,
+		Limits: func() acceptor.Limits { return acceptor.Limits{IdleTime: idleTimeout} },
 	}
 	if h.identity.caller != nil {
-		h.listener = tls.NewListener(h.listener, h.identity.caller.ServerConfig())
+		callers.TLS = h.identity.caller.ServerConfig()
 	}
-	if h.peers, err = net.Listen("tcp", h.config.Settings.PeerListen); err != nil {
-		return annotator.Wrap("listen for other hosts", annotator.Peer(h.config.Settings.PeerListen), err)
+	var err error
+	if h.listener, err = acceptor.Listen(callers); err != nil {
+		return err
 	}
-	return nil
+	h.peers, err = acceptor.Listen(acceptor.Config{
+		Name: acceptor.Peers, Address: h.config.Settings.PeerListen, Connections: shares.Peers, Unframed: true, Log: h.log, Meter: h.meter,
+	})
+	return err
+}
+
+// connections returns the number of connections by listener and state.
+func (h *Host) connections() map[string]map[string]int64 {
+	return map[string]map[string]int64{h.listener.Name(): h.listener.Counts(), h.peers.Name(): h.peers.Counts()}
 }
 
 func (h *Host) closeListeners() {
-	for _, listener := range []net.Listener{h.listener, h.peers} {
+	for _, listener := range []*acceptor.Listener{h.listener, h.peers} {
 		if listener != nil {
 			_ = listener.Close()
 		}
