peerconnector: messages are read in stages, and connections that ended are forgotten

Callers saw a host run out of memory when clients at the peers' listener announced messages and sent half of them, or connected and were cut off again and again.

Cause: a message was allocated as a whole, and charged to the account of callers, when its length had arrived; nothing bounded the time for the rest.

Change: a message is read up to 64 KiB, 1 MiB and its size, each stage reserved when the former one has arrived, within the idle time-out and 1 s for each 256 KiB. Until the other end has named its host, its messages are reserved in the account of heads, four of its calls run at a time and its connection yields to new ones. The goroutine that accepted a connection waits for its end and removes it.

--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -307,7 +307,7 @@
 	h.catalogue = cataloguer.New(cataloguer.Config{Log: h.log, Meter: h.config.Meter})
 	h.peers = peerconnector.New(peerconnector.Config{
 		Self: func() codec.Member { return h.prober.Self() }, Listener: h.listeners.peer, Timer: h.timer, Meter: h.config.Meter,
-		Log: h.log, DialTimeout: peerDialTimeout, Memory: h.config.Memory,
+		Log: h.log, DialTimeout: peerDialTimeout, Memory: h.config.Memory, Unknown: h.config.Heads,
 	})
 	h.prober = prober.NewDriver(prober.DriverConfig{
 		Self: codec.Member{
--- a/service/peerconnector/frames.go
+++ b/service/peerconnector/frames.go
@@ -20,10 +20,24 @@
 // a damaged length prefix could make the receiver allocate any amount of memory.
 const maxFrameBytes = 16 << 20
 
+const (
+	// firstFrameStage and secondFrameStage are the sizes up to which a message is read before memory for more is reserved, so that a message costs its
+	// account no more than its sender has sent.
+	firstFrameStage  = 64 << 10
+	secondFrameStage = 1 << 20
+	// minFrameRate is the rate in bytes a second at which a message must come after the idle time-out, on average.
+	minFrameRate = 256 << 10
+)
+
 // frameCodec is a jsonrpc2.ObjectCodec that encodes a message as a varint length and one JSON value.
 type frameCodec struct {
 	traffic *counters
 	memory  *reserver.Account
+	// unknown is the account of messages from connections whose other end is not known.
+	unknown *reserver.Account
+	// conn is the connection that the messages are read from, timeout the time for a message without its length.
+	conn    *countingConn
+	timeout time.Duration
 }
 
 // WriteObject writes one message; it is an error if the message exceeds maxFrameBytes.
@@ -58,19 +72,10 @@
 		if size > maxFrameBytes {
 			return fmt.Errorf("peer message of %d bytes exceeds the limit of %d bytes", size, maxFrameBytes)
 		}
-		held, err := f.reserve(identifier.Bytes(size))
-		if err != nil {
-			f.traffic.messagesLeftOut.Add(1)
-			if _, err := io.CopyN(io.Discard, stream, int64(size)); err != nil {
-				return err
-			}
-			continue
-		}
-		err = f.readFrame(stream, object, size)
-		held.Release()
+		err = f.readFrame(stream, object, int(size))
 		var malformed *json.SyntaxError
-		if errors.As(err, &malformed) {
-			// The frame is complete, so the next one can be read: one message must not cost the connection.
+		if errors.As(err, &malformed) || errors.Is(err, errNoMemory) {
+			// The frame was read to its end, so the next one can be read: one message must not cost the connection.
 			f.traffic.messagesLeftOut.Add(1)
 			continue
 		}
@@ -78,23 +83,50 @@
 	}
 }
 
+// errNoMemory means that a message was discarded because there was no memory for it.
+var errNoMemory = errors.New("there is no memory for the message")
+
+// readFrame reads a message of the given size. What is reserved for it counts until it is decoded.
+func (f frameCodec) readFrame(stream *bufio.Reader, object any, size int) error {
+	_ = f.conn.SetReadDeadline(time.Now().Add(f.timeout + time.Duration(size)*time.Second/minFrameRate))
+	defer func() { _ = f.conn.SetReadDeadline(time.Time{}) }()
+	var data []byte
+	for _, stage := range []int{firstFrameStage, secondFrameStage, size} {
+		stage = min(stage, size)
+		if stage <= len(data) {
+			continue
+		}
+		if len(data) > 0 {
+			held, err := f.reserve(identifier.Bytes(stage))
+			if err != nil {
+				if _, err := io.CopyN(io.Discard, stream, int64(size-len(data))); err != nil {
+					return err
+				}
+				return errNoMemory
+			}
+			defer held.Release()
+		}
+		read := len(data)
+		data = append(make([]byte, 0, stage), data...)[:stage]
+		if _, err := io.ReadFull(stream, data[read:]); err != nil {
+			return err
+		}
+	}
+	f.traffic.messagesReceived.Add(1)
+	return json.Unmarshal(data, object)
+}
+
 // reserve reserves memory for a message, which is copied once while it is decoded.
 func (f frameCodec) reserve(size identifier.Bytes) (*reserver.Reservation, error) {
+	if !f.conn.known.Load() {
+		return f.unknown.Reserve(context.Background(), 2*size)
+	}
 	if size <= reservedFrameBytes {
 		return f.memory.Charge(2 * size), nil
 	}
 	return f.memory.Reserve(context.Background(), 2*size)
 }
 
-func (f frameCodec) readFrame(stream *bufio.Reader, object any, size uint64) error {
-	data := make([]byte, size)
-	if _, err := io.ReadFull(stream, data); err != nil {
-		return err
-	}
-	f.traffic.messagesReceived.Add(1)
-	return json.Unmarshal(data, object)
-}
-
 // counters holds the traffic of this host with all peers.
 type counters struct {
 	bytesSent        atomic.Int64
@@ -112,6 +144,8 @@
 	traffic      *counters
 	writeTimeout time.Duration
 	received     atomic.Int64
+	// known is set once the connection is known to lead to another host.
+	known atomic.Bool
 }
 
 // Read also counts the bytes for this host and for this connection.
@@ -134,3 +168,11 @@
 	}
 	return n, err
 }
+
+// keep records that the connection leads to another host, so that it is not closed in favor of new ones.
+func (c *countingConn) keep() {
+	c.known.Store(true)
+	if kept, ok := c.Conn.(interface{ Keep() }); ok {
+		kept.Keep()
+	}
+}
--- a/service/peerconnector/link.go
+++ b/service/peerconnector/link.go
@@ -24,6 +24,10 @@
 // closes idle connections, and without the margin a call could be sent on a connection that is being closed.
 const reuseMargin = 5 * time.Second
 
+// maxUnknownCalls bounds the concurrent handlers of an accepted connection whose other end is not known yet. The first call of a host
+// names it.
+const maxUnknownCalls = 4
+
 // paramsFactor is the memory that a large request from a peer takes while it is served, in relation to the size of its parameters.
 const paramsFactor = 3
 
@@ -50,6 +54,8 @@
 	retired atomic.Bool
 	// running counts the calls and handlers in progress.
 	running atomic.Int64
+	// unknownCalls counts the handlers in progress that were started before the peer was known.
+	unknownCalls atomic.Int64
 	// lastUse is the time of the last use in Unix nanoseconds.
 	lastUse atomic.Int64
 
@@ -151,8 +157,13 @@
 		handlers: grouper.NewGroup(c.config.MaxHandlers),
 	}
 	l.socket = countingConnOf(socket)
+	if dialed {
+		l.socket.keep()
+	}
 	l.touch()
-	stream := jsonrpc2.NewBufferedStream(socket, frameCodec{traffic: &c.traffic, memory: c.config.Memory})
+	stream := jsonrpc2.NewBufferedStream(socket, frameCodec{
+		traffic: &c.traffic, memory: c.config.Memory, unknown: c.config.Unknown, conn: l.socket, timeout: c.config.IdleTimeout,
+	})
 	defer close(l.ready)
 	l.conn = jsonrpc2.NewConn(c.base, stream, l, jsonrpc2.SetLogger(discardLog))
 	return l
@@ -184,6 +195,18 @@
 	return nil
 }
 
+// removeLink forgets a connection that has ended. Those of clients that come and go would otherwise be kept until the next sweep.
+func (c *Connector) removeLink(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.links, l)
+	for key, other := range c.byPeer {
+		if other == l {
+			delete(c.byPeer, key)
+		}
+	}
+}
+
 func (l *link) touch() { l.lastUse.Store(time.Now().UnixNano()) }
 
 // call makes a call on a connection that link has returned.
@@ -235,7 +258,19 @@
 func (l *link) start(f func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.closed && l.handlers.TryGo(f)
+	switch {
+	case l.closed:
+		return false
+	case l.socket.known.Load():
+		return l.handlers.TryGo(f)
+	case l.unknownCalls.Load() >= maxUnknownCalls:
+		return false
+	}
+	l.unknownCalls.Add(1)
+	return l.handlers.TryGo(func() {
+		defer l.unknownCalls.Add(-1)
+		f()
+	})
 }
 
 func (l *link) serve(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
@@ -278,6 +313,7 @@
 		return Sender{}
 	}
 	if sender.Address != "" && sender.Host != "" && !l.dialed {
+		l.socket.keep()
 		l.owner.setPeer(l, sender)
 	}
 	return sender
--- a/service/peerconnector/peerconnector.go
+++ b/service/peerconnector/peerconnector.go
@@ -60,8 +60,10 @@
 	MaxCalls int
 	// MaxHandlers bounds the concurrent handlers of one connection; further requests are refused with CodeBusy.
 	MaxHandlers int
-	// Memory is the account to which messages are charged; nil means no limit.
-	Memory *reserver.Account
+	// Memory is the account to which messages of other hosts are charged, Unknown that of messages from connections whose other end
+	// has not named itself; nil means no limit.
+	Memory  *reserver.Account
+	Unknown *reserver.Account
 }
 
 // Connector implements connector.Peers.
--- a/service/peerconnector/stream.go
+++ b/service/peerconnector/stream.go
@@ -81,7 +81,16 @@
 		c.serveStream(ctx, conn)
 		_ = conn.Close()
 	default:
-		_ = c.addLink(c.newLink(conn, false), "")
+		l := c.newLink(conn, false)
+		if c.addLink(l, "") != nil {
+			return
+		}
+		release()
+		select {
+		case <-l.conn.DisconnectNotify():
+			c.removeLink(l)
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -95,7 +104,10 @@
 	}
 	counted := countingConnOf(conn)
 	counted.writeTimeout = 0
-	if socket, ok := counted.Conn.(*net.TCPConn); ok {
+	counted.keep()
+	if socket, ok := counted.Conn.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
 		_ = socket.SetKeepAliveConfig(streamKeepAlive)
 	}
 	handler(ctx, conn)
--- a/service/supervisor/parts.go
+++ b/service/supervisor/parts.go
@@ -66,7 +66,7 @@
 	var p parts
 	p.peers = peerconnector.New(peerconnector.Config{
 		Self: func() codec.Member { return p.prober.Self() }, Listener: h.peers, TLS: h.peerTLS(),
-		Timer: h.timer, Meter: h.meter, Log: h.log,
+		Timer: h.timer, Meter: h.meter, Log: h.log, Unknown: h.heads,
 	})
 	p.prober = h.buildProber(&p)
 	p.lister = lister.NewDriver(lister.DriverConfig{Store: store, Timer: h.timer, Log: h.log, Peers: p.peers, Members: p.prober})
