exchanger: a status that is none of a final answer is no answer

Callers of an engine that signs answers with status 000 saw their connection end without an answer; a signed 700 was handed on as status 700.

Cause: Go's HTTP client accepts any three digits as a status, the translator took what is signed and below 500 for the engine's own answer, and net/http panics when it is to write a status below 100.

Evidence: the host's log of TestCallersGetNoAnswerOfAnOddStatus on: "http: panic serving 127.0.0.1:47034: invalid WriteHeader code 0".

Change: an answer whose status is below 200 or above 599 counts as bytes that are no answer, for all that is sent through exchanger: requests, streams, items, reward calls, orders, reports, the platform's store. Nothing in it is believed, its connection is closed, and the attempt has an unknown outcome, so that an idempotent request is tried elsewhere and one that may run once gets 502. The client of the object API in storeconnector does the same: such an answer to a write leaves its outcome unknown.

--- a/service/exchanger/exchanger.go
+++ b/service/exchanger/exchanger.go
@@ -171,14 +171,12 @@
 		return nil, classify(request, err, !state.abandon())
 	}
 	conn := state.conn.Load()
-	if options.Check != nil {
-		if err := options.Check(response); err != nil {
-			_ = response.Body.Close()
-			if conn != nil {
-				_ = conn.Close()
-			}
-			return nil, err
+	if err := check(request, response, options); err != nil {
+		_ = response.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
 		}
+		return nil, err
 	}
 	if conn != nil && options.OnConnection != nil {
 		options.OnConnection(&conn.connection)
@@ -189,6 +187,26 @@
 	return response, nil
 }
 
+// The statuses of final responses.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+var errStatus = errors.New("the status of the response is none of a final response")
+
+// check returns an error for a response whose status is none of a final response, which the transport lets pass, and for one that
+// options.Check rejects. Nothing in the former is believed: like other bytes that are no response, it leaves open whether the request ran.
+func check(request *http.Request, response *http.Response, options Options) error {
+	if response.StatusCode < minFinalStatus || response.StatusCode > maxFinalStatus {
+		return Fail(request.Context(), connector.FailureConnectionLost, annotator.Wrap("read response", annotator.Peer(request.URL.Host), fmt.Errorf("%w: %.40q", errStatus, response.Status)))
+	}
+	if options.Check != nil {
+		return options.Check(response)
+	}
+	return nil
+}
+
 // closingBody is the body of a response on a connection that carries no further exchange.
 type closingBody struct {
 	io.ReadCloser
--- a/service/storeconnector/classify.go
+++ b/service/storeconnector/classify.go
@@ -39,10 +39,16 @@
 	return fmt.Errorf("%w: %w", connector.ErrUnavailable, cause)
 }
 
+// maxStatus is above the statuses of responses.
+const maxStatus = 600
+
 // classifyResponse returns the error of a call whose status line arrived; readErr is set if the body is incomplete.
 func classifyResponse(ctx context.Context, k call, response *http.Response, body []byte, readErr error) error {
 	status := response.StatusCode
 	switch {
+	case status < http.StatusOK || status >= maxStatus:
+		// No final response has such a status, so this one shows nothing.
+		return classifyFailure(ctx, k, true, &StatusError{Status: status})
 	case status == http.StatusOK || status == http.StatusNoContent:
 		if readErr != nil {
 			return classifyFailure(ctx, k, true, readErr)
--- a/service/storeconnector/storeconnector_test.go
+++ b/service/storeconnector/storeconnector_test.go
@@ -57,6 +57,7 @@
 		put     error
 		get     error
 	}{
+		{"no final status", respond(700, ""), connector.ErrOutcomeUnknown, connector.ErrUnavailable},
 		{"throttled", respond(http.StatusTooManyRequests, ""), connector.ErrThrottled, connector.ErrThrottled},
 		{"unavailable", respond(http.StatusServiceUnavailable, ""), connector.ErrUnavailable, connector.ErrUnavailable},
 		{"internal error", respond(http.StatusInternalServerError, ""), connector.ErrOutcomeUnknown, connector.ErrUnavailable},
