server, supervisor: bodies of the service's own program are bounded together

Cause: the service's own program bounded the body of one request and not their sum, and without a setting for its memory the number of its connections followed from its descriptors alone.

Bodies are reserved before they are read and refused with 503, memory_full and Retry-After when there is no room. A test shows that the limits hold for secured connections.

--- a/service/acceptor/acceptor_test.go
+++ b/service/acceptor/acceptor_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -323,3 +325,29 @@
 	}
 	require.Less(t, acceptor.Divide(8192, 184<<20).Callers, acceptor.Divide(8192, 0).Callers)
 }
+
+// Guards against limits that do not hold for secured connections, or that break them.
+func TestLimitsHoldForSecuredConnections(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	t.Cleanup(certified.Close)
+	limits := func() acceptor.Limits { return acceptor.Limits{HeadBytes: 4 << 10, IdleTime: 300 * time.Millisecond} }
+	l, address := serve(t, acceptor.Config{TLS: &tls.Config{Certificates: certified.TLS.Certificates}, Limits: limits}, nil)
+	client := certified.Client()
+	response, err := client.Post("https://"+address+"/echo", "text/plain", strings.NewReader("body"))
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "/echo body", string(text))
+	request, err := http.NewRequest(http.MethodGet, "https://"+address+"/", http.NoBody)
+	require.NoError(t, err)
+	request.Header.Set("X-Long", strings.Repeat("x", 10000))
+	response, err = client.Do(request)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	// This client does not begin the handshake.
+	silent, _ := dial(t, address)
+	_, err = silent.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return l.Counts()["silent"] == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/service/cmd/celerygapd/main.go
+++ b/service/cmd/celerygapd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"celerygap.example/lib/logger"
@@ -19,6 +20,9 @@
 	exitSetting = 2
 )
 
+// runtimeShare is the percentage of the memory above which the runtime collects garbage without regard to its cost.
+const runtimeShare = 80
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := configurer.Command(serve).Run(ctx, os.Args)
@@ -35,6 +39,9 @@
 }
 
 func serve(ctx context.Context, config configurer.Config) error {
+	if config.Memory > 0 {
+		debug.SetMemoryLimit(int64(config.Memory) * runtimeShare / 100)
+	}
 	log := logger.New(logger.Config{Output: os.Stderr, Format: config.LogFormat, Level: config.LogLevel})
 	host, err := supervisor.New(supervisor.Config{Settings: config, Log: log})
 	if err != nil {
--- a/service/configurer/configurer.go
+++ b/service/configurer/configurer.go
@@ -42,16 +42,19 @@
 
 // Config holds the validated settings of one host; the usage texts of the flags describe them.
 type Config struct {
-	HostID            identifier.HostID
-	Zone              identifier.Zone
-	Region            identifier.Region
-	Listen            string
-	PeerListen        string
-	PeerAddress       string
-	StoreURL          string
-	Seeds             []string
-	DataFolder        string
-	BodyLimit         identifier.Bytes
+	HostID      identifier.HostID
+	Zone        identifier.Zone
+	Region      identifier.Region
+	Listen      string
+	PeerListen  string
+	PeerAddress string
+	StoreURL    string
+	Seeds       []string
+	DataFolder  string
+	BodyLimit   identifier.Bytes
+	// Memory is the memory of the process, and Descriptors the number of descriptors that it may open; zero means that they are not set.
+	Memory            identifier.Bytes
+	Descriptors       int
 	DrainWait         time.Duration
 	DrainTimeout      time.Duration
 	LockDutyThreads   bool
@@ -141,6 +144,8 @@
 		&cli.StringSliceFlag{Name: "seed", Usage: "peer `ADDRESS` of another host to join by; may be repeated", Sources: env("seed")},
 		stringFlag("data-folder", "", "`FOLDER` for bulk data; empty: this host keeps none"),
 		intFlag("body-limit", DefaultBodyLimit, "largest request body in `BYTES` when the catalogue entry sets none"),
+		intFlag("memory-mb", 0, "memory of the process in `MB`, which bounds what clients may hold; 0: half of the machine's"),
+		intFlag("max-fds", 0, "`DESCRIPTORS` that the process may open, which bounds the connections of clients; 0: the limit of the system"),
 		durationFlag("drain-wait", DefaultDrainWait, "how long the load balancer gets to stop sending after readiness is off"),
 		durationFlag("drain-timeout", DefaultDrainTimeout, "longest wait for running requests during a planned stop"),
 		&cli.BoolFlag{Name: "lock-duty-threads", Value: true, Usage: "give each duty an OS thread of its own", Sources: env("lock-duty-threads")},
@@ -171,6 +176,8 @@
 		Seeds:             cmd.StringSlice("seed"),
 		DataFolder:        cmd.String("data-folder"),
 		BodyLimit:         identifier.Bytes(cmd.Int("body-limit")),
+		Memory:            identifier.Bytes(cmd.Int("memory-mb")) << 20,
+		Descriptors:       cmd.Int("max-fds"),
 		DrainWait:         cmd.Duration("drain-wait"),
 		DrainTimeout:      cmd.Duration("drain-timeout"),
 		LockDutyThreads:   cmd.Bool("lock-duty-threads"),
@@ -291,6 +298,11 @@
 			problems = append(problems, invalid(n.flag, fmt.Sprint(n.value), "a whole number of at least 1"))
 		}
 	}
+	for flag, value := range map[string]int{"memory-mb": int(c.Memory >> 20), "max-fds": c.Descriptors} {
+		if value < 0 {
+			problems = append(problems, invalid(flag, fmt.Sprint(value), "a whole number of at least 0"))
+		}
+	}
 	if c.DrainWait < 0 {
 		problems = append(problems, invalid("drain-wait", c.DrainWait.String(), "a duration of at least 0s"))
 	}
--- a/service/configurer/configurer_test.go
+++ b/service/configurer/configurer_test.go
@@ -26,6 +26,8 @@
 	}{
 		{[]string{"--listen", "localhost"}, `--listen (CELERYGAP_LISTEN): "localhost" is not accepted; want IP:port`},
 		{[]string{"--body-limit", "0"}, "--body-limit"},
+		{[]string{"--memory-mb", "-1"}, "--memory-mb"},
+		{[]string{"--max-fds", "-1"}, "--max-fds"},
 		{[]string{"--log-level", "loud"}, "debug, info, warn or error"},
 		{[]string{"--tls-cert", "x.pem"}, "--tls-key"},
 		{[]string{"--no-such-flag"}, "no-such-flag"},
--- a/service/server/caller.go
+++ b/service/server/caller.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,7 +14,9 @@
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/refuser"
+	"celerygap.example/service/acceptor"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/reserver"
 )
 
 const (
@@ -248,10 +250,21 @@
 }
 
 func (s *Server) readBody(c echo.Context, limit identifier.Bytes) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, int64(limit)))
-	if err != nil {
+	request := c.Request()
+	source := http.MaxBytesReader(c.Response(), request.Body, int64(limit))
+	body, held, err := s.config.Memory.ReadBody(request.Context(), source, request.ContentLength, limit)
+	var full *reserver.FullError
+	switch {
+	case errors.Is(err, reserver.ErrTooLarge):
+		return nil, refuser.NotRun(refuser.BodyTooLarge, 0, "the body exceeds the limit of %d bytes", limit)
+	case errors.As(err, &full):
+		return nil, refuser.NotRun(refuser.MemoryFull, full.RetryAfter, "%v", full)
+	case errors.Is(err, acceptor.ErrBodyTooSlow):
+		return nil, refuser.NotRun(refuser.BodyTooSlow, 0, "%v", err)
+	case err != nil:
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
+	reserver.HolderOf(request.Context()).Keep(held.Release)
 	return body, nil
 }
 
--- a/service/server/server.go
+++ b/service/server/server.go
@@ -15,6 +15,7 @@
 	"celerygap.example/lib/meter"
 	"celerygap.example/service/connector"
 	"celerygap.example/service/drainer"
+	"celerygap.example/service/reserver"
 )
 
 // Rollouts accepts the declarations of steps and serves pages of their samples.
@@ -64,6 +65,8 @@
 	Meter     *meter.Meter
 	Log       *logger.Logger
 	BodyLimit identifier.Bytes
+	// Memory bounds the bodies of requests together; nil means no limit.
+	Memory *reserver.Account
 }
 
 // Server is the HTTP interface of one host.
@@ -153,6 +156,8 @@
 		}
 		ctx, release := s.drain.Context(c.Request().Context())
 		defer release()
+		ctx, memory := reserver.WithHolder(ctx)
+		defer memory.Release()
 		c.SetRequest(c.Request().WithContext(ctx))
 		return next(c)
 	}
--- a/service/server/server_test.go
+++ b/service/server/server_test.go
@@ -17,6 +17,7 @@
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/refuser"
 	"celerygap.example/service/connector"
+	"celerygap.example/service/reserver"
 	"celerygap.example/service/server"
 )
 
@@ -154,3 +155,24 @@
 	require.Equal(t, http.StatusServiceUnavailable, send(s, "GET", "/readyz", "").Code)
 	require.Equal(t, http.StatusOK, send(s, "GET", "/healthz", "").Code)
 }
+
+// Guards against bodies that together take more memory than the host has for callers, and against a refusal without the time to return.
+func TestBodiesAreRefusedWhenTheMemoryIsTaken(t *testing.T) {
+	m, err := meter.New()
+	require.NoError(t, err)
+	f := &fakes{}
+	memory := reserver.New(reserver.Config{Limit: 1 << 10, MaxWait: time.Millisecond})
+	s := server.New(server.Config{
+		Generator: f, Plain: f, Rollouts: f, Catalogue: f, Members: f, Ready: func() bool { return true },
+		Meter: m, Log: logger.Discard(), BodyLimit: 1 << 10, Memory: memory,
+	})
+	taken := memory.Charge(1 << 10)
+	response := send(s, http.MethodPost, "/services/orders/x", "12345678")
+	require.Equal(t, http.StatusServiceUnavailable, response.Code)
+	require.NotEmpty(t, response.Header().Get("Retry-After"))
+	require.Contains(t, response.Body.String(), `"outcome":"not_run"`)
+	require.Zero(t, f.calls)
+	taken.Release()
+	require.Equal(t, http.StatusTeapot, send(s, http.MethodPost, "/services/orders/x", "12345678").Code)
+	require.Zero(t, memory.Used(), "memory is held after the end of the request")
+}
--- a/service/supervisor/parts.go
+++ b/service/supervisor/parts.go
@@ -66,7 +66,7 @@
 	var p parts
 	p.peers = peerconnector.New(peerconnector.Config{
 		Self: func() codec.Member { return p.prober.Self() }, Listener: h.peers, TLS: h.peerTLS(),
-		Timer: h.timer, Meter: h.meter, Log: h.log, Unknown: h.heads,
+		Timer: h.timer, Meter: h.meter, Log: h.log, Memory: h.memory, Unknown: h.heads,
 	})
 	p.prober = h.buildProber(&p)
 	p.lister = lister.NewDriver(lister.DriverConfig{Store: store, Timer: h.timer, Log: h.log, Peers: p.peers, Members: p.prober})
@@ -85,7 +85,7 @@
 	p.server = server.New(server.Config{
 		Generator: p.dispatcher, Plain: p.dispatcher, Rollouts: p.scheduler, Versions: p.updater, Catalogue: p.disseminator,
 		Members: p.prober, Edits: editor.New(editor.Config{Store: store, Now: h.timer.Now, Log: h.log}), Screens: p.presenter,
-		Fleet: p.disseminator, Ready: p.ready, Meter: h.meter, Log: h.log, BodyLimit: h.config.Settings.BodyLimit,
+		Fleet: p.disseminator, Ready: p.ready, Meter: h.meter, Log: h.log, BodyLimit: h.config.Settings.BodyLimit, Memory: h.memory,
 	})
 	return p
 }
--- a/service/supervisor/supervisor.go
+++ b/service/supervisor/supervisor.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"celerygap.example/lib/annotator"
 	"celerygap.example/lib/asserter"
 	"celerygap.example/lib/grouper"
+	"celerygap.example/lib/identifier"
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/meter"
 	"celerygap.example/lib/timer"
@@ -25,6 +27,8 @@
 const (
 	// idleTimeout is how long a caller's connection without requests stays open.
 	idleTimeout = 2 * time.Minute
+	// bodyShare is the percentage of the memory that bodies of requests and messages of other hosts may take together.
+	bodyShare = 40
 	// leaveTimeout bounds the announcement of a planned stop to other hosts.
 	leaveTimeout = 5 * time.Second
 	// answerTimeout bounds the answers to requests that a planned stop ends.
@@ -50,7 +54,9 @@
 	listener *acceptor.Listener
 	peers    *acceptor.Listener
 	// heads is the account of request heads, and of messages from connections whose other end is not known.
-	heads    *reserver.Account
+	heads *reserver.Account
+	// memory is the account of bodies of requests, and of messages of other hosts.
+	memory   *reserver.Account
 	http     *http.Server
 	identity identities
 	parts    parts
@@ -113,8 +119,17 @@
 }
 
 func (h *Host) listen() error {
-	shares := acceptor.Divide(acceptor.MaxDescriptors(), 0)
-	h.heads = acceptor.NewHeadAccount(0)
+	settings := h.config.Settings
+	memory, descriptors := settings.Memory, acceptor.MaxDescriptors()
+	if memory == 0 {
+		memory = machineMemory() / 2
+	}
+	if settings.Descriptors > 0 {
+		descriptors = min(descriptors, settings.Descriptors)
+	}
+	shares := acceptor.Divide(descriptors, memory)
+	h.heads = acceptor.NewHeadAccount(memory)
+	h.memory = reserver.New(reserver.Config{Limit: memory * bodyShare / 100})
 	callers := acceptor.Config{
 		Name: acceptor.Callers, Address: h.config.Settings.Listen, Connections: shares.Callers, Heads: h.heads, Log: h.log, Meter: h.meter,
 		Limits: func() acceptor.Limits { return acceptor.Limits{IdleTime: idleTimeout} },
@@ -126,12 +141,22 @@
 	if h.listener, err = acceptor.Listen(callers); err != nil {
 		return err
 	}
+	h.memory.OnFull(h.listener.ShedSlowBody)
 	h.peers, err = acceptor.Listen(acceptor.Config{
 		Name: acceptor.Peers, Address: h.config.Settings.PeerListen, Connections: shares.Peers, Unframed: true, Log: h.log, Meter: h.meter,
 	})
 	return err
 }
 
+// machineMemory returns the memory of the machine, or 0 if it is not known.
+func machineMemory() identifier.Bytes {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return identifier.Bytes(info.Totalram) * identifier.Bytes(info.Unit)
+}
+
 // connections returns the number of connections by listener and state.
 func (h *Host) connections() map[string]map[string]int64 {
 	return map[string]map[string]int64{h.listener.Name(): h.listener.Counts(), h.peers.Name(): h.peers.Counts()}
