--- a/service/acceptor/acceptor_test.go
+++ b/service/acceptor/acceptor_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -311,7 +310,6 @@
 		require.NoError(t, err)
 		require.True(t, bytes.Equal(text, []byte("hello")))
 	}
-	require.NoError(t, context.Cause(t.Context()))
 }
 
 // Guards against listeners that together leave no descriptors for the connections that a host opens itself.
