--- a/review/harness-3/engine.go
+++ b/review/harness-3/engine.go
@@ -47,7 +47,9 @@
 	events   int
 	interval time.Duration
 	work     time.Duration
-	born     int64
+	// padding lengthens each event.
+	padding string
+	born    int64
 	// answer may take over a request before it runs; it returns false to let it run.
 	answer func(w http.ResponseWriter, r *http.Request, body []byte) bool
 
@@ -187,7 +189,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", number, e.software, r.Header.Get("Request-Id"), number); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d%s\n\n", number, e.software, r.Header.Get("Request-Id"), number, e.padding); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/review/harness-3/jobs.go
+++ b/review/harness-3/jobs.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 func rolloutRoute() map[string]any {
@@ -21,13 +22,16 @@
 }
 
 // submission returns a batch job.
-func submission(job string, step, minVersion, items, group int) string {
+func submission(job string, step, minVersion, items, group, body int) string {
 	var list []map[string]any
 	for i := range items {
 		id := fmt.Sprintf("%s-item%d", job, i)
 		list = append(list, map[string]any{
-			"id": id, "path": fmt.Sprintf("/b/%s/%d", job, i), "headers": map[string]string{"Model": "m", "Token-Count": "20,400", "Prompt-Prefix": "a1:20"},
-			"body": base64.StdEncoding.EncodeToString([]byte(id)), "tokens": 420, "group": fmt.Sprintf("%s-g%d", job, i/group),
+			"id": id, "path": fmt.Sprintf("/b/%s/%d", job, i), "headers": map[string]string{
+				"Model": "m", "Token-Count": "20,400", "Prompt-Prefix": "a1:20", "Length-Hint": "200", "Accept": "text/event-stream",
+				"Content-Type": "text/plain", "Sample": fmt.Sprint(i % group), "Step": fmt.Sprint(step),
+			},
+			"body": base64.StdEncoding.EncodeToString([]byte(id + strings.Repeat("b", max(0, body-len(id))))), "tokens": 420, "group": fmt.Sprintf("%s-g%d", job, i/group),
 			"scorer": map[string]any{"id": id + "-score", "host": hostName, "path": "/p/score", "body": base64.StdEncoding.EncodeToString([]byte("s" + id))},
 		})
 	}
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -59,8 +59,12 @@
 	intercept func(w http.ResponseWriter, r *http.Request, body []byte) bool
 }
 
-// listPage is the number of objects in one response to a list.
-const listPage = 500
+const (
+	// listPage is the number of objects in one response to a list.
+	listPage = 500
+	// history is the number of changes that the store keeps.
+	history = 4096
+)
 
 func newStore() *store {
 	return &store{revision: 100, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
@@ -180,6 +184,10 @@
 	limit := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if len(s.changes) == history && s.changes[0].revision > since+1 {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
 		for _, c := range s.changes {
 			if c.kind == kind && c.revision > since {
 				answer.Events = append(answer.Events, c.event)
@@ -267,6 +275,7 @@
 
 func (s *store) note(c change) {
 	s.changes = append(s.changes, c)
+	s.changes = s.changes[max(0, len(s.changes)-history):]
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
