batcher: the start of an adoption is logged with the memory in use

Adoptions were logged once a job had been read (6104). A host that is killed while it reads leaves no line about the jobs that it was reading, so the log did not tell many reads at the same time from one job that alone is too large. Event 6129 names the job, its size in the store, and the memory for callers at that moment.

--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -61,6 +61,7 @@
 	JobRefused            Event = 6102
 	JobEnded              Event = 6103
 	JobAdopted            Event = 6104
+	AdoptionBegan         Event = 6129
 	AdoptionRequested     Event = 6116
 	JobHandedOver         Event = 6105
 	JobLost               Event = 6106
@@ -162,6 +163,7 @@
 	{ResultTooLarge, "result too large", "An item was given up because its result is larger than the store accepts.", "Ask the submitter for items with shorter texts."},
 	{StartsHeld, "starts of batch items held", "This host was paused, so other hosts may have ended or taken over its batch jobs; it starts no runs and reward calls until it has compared the jobs with the store or with other hosts. The field held reports whether this begins or ends.", "If this lasts, check this host's network, because it reaches neither the store nor the other hosts."},
 	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
+	{AdoptionBegan, "adoption of a batch job began", "This host starts to read a batch job from the store in order to own it. The line has the number of its objects and items, and how much of the memory for callers is in use at that moment.", "No action is needed."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobHandedOver, "batch job handed over", "This host is stopping and handed a batch job over to another host; the field accepted reports whether that host took it.", "No action is needed."},
 	{JobLost, "batch job lost", "Another host took over a batch job that this host owned, so this host stopped the items that it ran.", "No action is needed if this is rare; otherwise check this host's network, because the other hosts could not reach it."},
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -338,6 +338,8 @@
 	if !d.mayAdopt(ctx, head, reason) {
 		return nil
 	}
+	d.config.Log.Info(logger.AdoptionBegan).Str("request", string(id)).Str("former", string(head.Owner)).Int("parts", head.Parts).Int("items", head.Total).
+		Int64("memory_used", int64(d.config.Memory.Used())).Int64("memory_limit", int64(d.config.Memory.Limit())).Send()
 	former := codec.Member{ID: head.Owner, Address: head.Address}
 	if !d.owns(head) || head.Creation != "" {
 		head.Owner, head.Address, head.Incarnation = d.config.Self.ID, d.config.Self.Address, d.config.Incarnation
