--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -343,10 +343,19 @@
 // APIKey defines model for APIKey.
 type APIKey = identifier.APIKey
 
-// AdoptBatch Requests that the receiver, the home of a job, takes it over because its owner is gone.
+// AdoptBatch Requests that the receiver takes a job over because its owner is gone.
 type AdoptBatch struct {
 	From HostID  `json:"from"`
 	Job  BatchID `json:"job"`
+
+	// Size The memory that the job takes. A build that does not state it expects the receiver to take the job in any case.
+	Size Bytes `json:"size,omitempty"`
+}
+
+// AdoptReply defines model for AdoptReply.
+type AdoptReply struct {
+	// Full The receiver does not own the job and has no memory for it.
+	Full bool `json:"full,omitempty"`
 }
 
 // AnnounceBatch Tells a host who owns a job, so that it need not read the head from the store; version is the object version of the head.
@@ -390,6 +399,9 @@
 	// Address Peer address of the owner.
 	Address string `json:"address,omitempty"`
 
+	// BodySize The memory that the bodies of the items take.
+	BodySize Bytes `json:"body_size,omitempty"`
+
 	// Creation Names the write that created the head; it is absent once the head has been replaced, and from heads that a build without it wrote.
 	Creation    string       `json:"creation,omitempty"`
 	Customer    CustomerName `json:"customer,omitempty"`
@@ -399,7 +411,10 @@
 	Owner       HostID       `json:"owner"`
 
 	// Parts Number of objects that hold the job.
-	Parts       int       `json:"parts"`
+	Parts int `json:"parts"`
+
+	// Size The memory that the job takes at its owner, without the bodies of its items, its texts and its results. Absent from heads of a build that does not state it.
+	Size        Bytes     `json:"size,omitempty"`
 	SubmittedAt time.Time `json:"submitted_at"`
 	Total       int       `json:"total"`
 }
