batcher: a host takes a job over only with memory for it, and others are asked

Cause: a submission asks the account of memory, but adoption, resumption after a restart, handover and forwarded submissions only charged it, once the job was read; one host adopted all jobs of a model.

The head of a job states its memory. A host reserves that before it takes the job, or declines; the reviewer asks the home, then others, the oldest job first. What nobody has memory for waits in the store and is offered with the periodic review. Texts and results count while they are read. Why it works: each way in which a job comes to a host passes the same account as a submission.

--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -62,6 +62,8 @@
 	JobEnded              Event = 6103
 	JobAdopted            Event = 6104
 	AdoptionBegan         Event = 6129
+	AdoptionRefused       Event = 6130
+	JobWaits              Event = 6131
 	AdoptionRequested     Event = 6116
 	JobHandedOver         Event = 6105
 	JobLost               Event = 6106
@@ -162,8 +164,10 @@
 	{JobRouteChanged, "route of a batch job changed", "The route under which the items of a batch job run is another one, or was found for the first time. The field standing tells what became of the route that accepted the job (accepted_by): kept, moved to a host or prefix that no longer matches, replaced by another route, removed, or pending while the catalogue is older than the job and lacks it.", "If a standing of removed is not intended, restore the route: after two seconds the items are given up."},
 	{ResultTooLarge, "result too large", "An item was given up because its result is larger than the store accepts.", "Ask the submitter for items with shorter texts."},
 	{StartsHeld, "starts of batch items held", "This host was paused, so other hosts may have ended or taken over its batch jobs; it starts no runs and reward calls until it has compared the jobs with the store or with other hosts. The field held reports whether this begins or ends.", "If this lasts, check this host's network, because it reaches neither the store nor the other hosts."},
-	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; its home was asked to take the job over.", "No action is needed if this is rare; otherwise check why hosts fail."},
+	{AdoptionRequested, "adoption of a batch job requested", "The owner of a batch job is gone; a host was asked to take the job over. The field outcome is accepted, full (the host has no memory for the job) or failed.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{AdoptionBegan, "adoption of a batch job began", "This host starts to read a batch job from the store in order to own it. The line has the number of its objects and items, and how much of the memory for callers is in use at that moment.", "No action is needed."},
+	{AdoptionRefused, "adoption of a batch job refused", "This host has no memory for a batch job beside its other ones, so it left the job to another host. The line has how much of the memory for callers is in use.", "No action is needed unless the job waits (6131)."},
+	{JobWaits, "batch job waits for memory", "Nobody runs a batch job whose owner is gone or had no memory for it. With waits true, no host that was asked has memory for it either: it stays in the store, its results can be read, and it is offered again with each review, the oldest job first. With waits false, a host has taken it, or it cannot be said that all lack memory.", "Add hosts or memory if jobs wait for long; jobs that end make room."},
 	{JobAdopted, "batch job adopted", "This host took over a batch job whose owner is gone.", "No action is needed if this is rare; otherwise check why hosts fail."},
 	{JobHandedOver, "batch job handed over", "This host is stopping and handed a batch job over to another host; the field accepted reports whether that host took it.", "No action is needed."},
 	{JobLost, "batch job lost", "Another host took over a batch job that this host owned, so this host stopped the items that it ran.", "No action is needed if this is rare; otherwise check this host's network, because the other hosts could not reach it."},
--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -43,6 +43,7 @@
 	{"celerygap_cost_seen", "cost", []string{"entry"}, "Work of the same requests as it was seen afterwards, at the usual speed."},
 	{"celerygap_store_calls", "calls", []string{"operation", "result"}, "Calls to the platform's store."},
 	{"celerygap_batch_pages", "pages", []string{"source", "empty"}, "Pages of results of batch jobs by their source: this host as the owner, another host as the owner, the home of the job, or the store."},
+	{"celerygap_batch_jobs_waiting", "jobs", nil, "Batch jobs that no host runs because those that were asked have no memory for them, at the host that reviews the jobs."},
 	{"celerygap_duty_calls", "calls", []string{"duty", "outcome"}, "Calls of the platform that one host at a time makes."},
 	{"celerygap_usage_windows", "windows", []string{"result"}, "Windows of usage that were reported, or given up because they could not be reported in time."},
 	{"celerygap_usage_count_calls", "calls", []string{"result"}, "Messages with counts of requests to the collecting hosts."},
@@ -60,30 +61,31 @@
 
 // Meter holds the instruments of one host.
 type Meter struct {
-	registry  *prometheus.Registry
-	provider  *sdk.MeterProvider
-	refusals  metric.Int64Counter
-	retries   metric.Int64Counter
-	requests  metric.Int64Counter
-	duration  metric.Float64Histogram
-	delivered metric.Int64Counter
-	staleness metric.Float64Histogram
-	wait      metric.Float64Counter
-	keys      metric.Int64Counter
-	admission metric.Float64Histogram
-	choices   metric.Int64Counter
-	estimated metric.Float64Counter
-	seen      metric.Float64Counter
-	store     metric.Int64Counter
-	pages     metric.Int64Counter
-	duty      metric.Int64Counter
-	windows   metric.Int64Counter
-	counts    metric.Int64Counter
-	peer      metric.Int64Counter
-	bytes     metric.Int64Counter
-	ended     metric.Int64Counter
-	revision  metric.Int64Gauge
-	placement placementInstruments
+	registry    *prometheus.Registry
+	provider    *sdk.MeterProvider
+	refusals    metric.Int64Counter
+	retries     metric.Int64Counter
+	requests    metric.Int64Counter
+	duration    metric.Float64Histogram
+	delivered   metric.Int64Counter
+	staleness   metric.Float64Histogram
+	wait        metric.Float64Counter
+	keys        metric.Int64Counter
+	admission   metric.Float64Histogram
+	choices     metric.Int64Counter
+	estimated   metric.Float64Counter
+	seen        metric.Float64Counter
+	store       metric.Int64Counter
+	pages       metric.Int64Counter
+	jobsWaiting metric.Int64Gauge
+	duty        metric.Int64Counter
+	windows     metric.Int64Counter
+	counts      metric.Int64Counter
+	peer        metric.Int64Counter
+	bytes       metric.Int64Counter
+	ended       metric.Int64Counter
+	revision    metric.Int64Gauge
+	placement   placementInstruments
 }
 
 // New returns a meter with a registry of its own.
@@ -115,6 +117,7 @@
 	m.seen = b.floatCounter("celerygap_cost_seen")
 	m.store = b.counter("celerygap_store_calls")
 	m.pages = b.counter("celerygap_batch_pages")
+	m.jobsWaiting = b.gauge("celerygap_batch_jobs_waiting")
 	m.duty = b.counter("celerygap_duty_calls")
 	m.windows = b.counter("celerygap_usage_windows")
 	m.counts = b.counter("celerygap_usage_count_calls")
@@ -252,6 +255,13 @@
 	m.pages.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source), attribute.Bool("empty", empty)))
 }
 
+// JobsWaiting records the batch jobs that wait for a host with memory for them; it does nothing without a meter.
+func (m *Meter) JobsWaiting(jobs int) {
+	if m != nil {
+		m.jobsWaiting.Record(context.Background(), int64(jobs))
+	}
+}
+
 // DutyCalled counts a call that one host at a time makes.
 func (m *Meter) DutyCalled(duty, outcome string) {
 	m.duty.Add(context.Background(), 1, metric.WithAttributes(attribute.String("duty", duty), attribute.String("outcome", outcome)))
--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"celerygap.example/lib/annotator"
@@ -22,7 +21,7 @@
 // maxHandovers bounds the concurrent handovers, maxHandoverTargets the hosts that are asked to take one job.
 const (
 	maxHandovers       = 4
-	maxHandoverTargets = 2
+	maxHandoverTargets = 4
 )
 
 func (d *Driver) requestReview() {
@@ -110,7 +109,7 @@
 		return err
 	}
 	for _, id := range ids {
-		d.adoptOnRequest(id)
+		d.adoptOnRequest(id, nil)
 	}
 	return nil
 }
@@ -155,7 +154,8 @@
 }
 
 // review compares the jobs that this host owns with the list of all jobs, stale or current, and then looks for others that it has
-// to act on. It reports whether there are jobs whose owner is gone and that no host has adopted yet.
+// to act on. It reports whether there are jobs whose owner is gone and that no host has adopted yet, other than those that wait for
+// memory: these are offered again with each periodic review.
 func (d *Driver) review(ctx context.Context, current bool) (orphans bool, err error) {
 	heads, err := d.config.Keeper.Heads(ctx, !current)
 	if err != nil {
@@ -172,6 +172,7 @@
 		d.releaseStarts()
 	}
 	reviewing := d.reviewer().ID == d.config.Self.ID
+	d.retainWaiting(heads, reviewing)
 	for _, head := range heads {
 		if ctx.Err() != nil || d.isDraining() {
 			return false, nil
@@ -187,45 +188,63 @@
 	return orphans, nil
 }
 
-// checkOwner has an open job adopted if nobody runs it, and reports whether its owner is gone. A live owner is asked as well:
-// a write of its earlier process may have made it the owner after its start.
+// checkOwner has an open job adopted if nobody runs it, and reports whether its owner is gone and the job does not wait for memory. A
+// live owner is asked as well: a write of its earlier process may have made it the owner after its start, or it had no memory for
+// the job since.
 func (d *Driver) checkOwner(head batchkeeper.Head) (orphan bool) {
-	adopter, live := d.liveMember(head.Owner)
-	if !live && time.Since(d.startedAt) < d.config.SettleTime {
+	owner, live := d.liveMember(head.Owner)
+	switch {
+	case live:
+		d.work.Go(func() {
+			if d.offer(owner, head) == offerFull {
+				d.place(head)
+			}
+		})
+		return false
+	case time.Since(d.startedAt) < d.config.SettleTime:
 		// This host may not know the owner yet.
 		return false
 	}
-	if !live {
-		adopter = d.home(codec.BatchJob{ID: head.ID, Model: head.Model})
-	}
-	if adopter.ID == d.config.Self.ID {
-		d.adoptOnRequest(head.ID)
-		return !live
-	}
-	d.work.Go(func() {
-		ctx, cancel := context.WithTimeout(d.base, peerTimeout)
-		defer cancel()
-		err := d.config.Peers.Call(ctx, adopter, methodAdopt, codec.AdoptBatch{From: d.config.Self.ID, Job: head.ID}, nil)
-		if !live {
-			d.config.Log.Info(logger.AdoptionRequested).Str("request", string(head.ID)).Str("owner", string(head.Owner)).
-				Str("home", string(adopter.ID)).Err(err).Send()
-		}
-	})
-	return !live
+	d.place(head)
+	return !d.isWaiting(head.ID)
 }
 
-func (d *Driver) serveAdopt(_ context.Context, params json.RawMessage) (any, error) {
+func (d *Driver) serveAdopt(ctx context.Context, params json.RawMessage) (any, error) {
 	var request codec.AdoptBatch
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode request for adoption", "peer", err)
 	}
-	d.adoptOnRequest(request.Job)
-	return struct{}{}, nil
+	return codec.AdoptReply{Full: !d.acceptAdoption(ctx, request.Job, request.Size)}, nil
+}
+
+// acceptAdoption begins to adopt a job, unless this host owns it or is doing so already, and reports whether it has memory for that.
+// A size of zero means that it is not known yet. A host that is stopping may be handing the job over, so it does not decline.
+func (d *Driver) acceptAdoption(ctx context.Context, id identifier.BatchID, size identifier.Bytes) bool {
+	if size == 0 || d.hasOrAdopts(id) || d.isDraining() {
+		d.adoptOnRequest(id, nil)
+		return true
+	}
+	r, err := d.reserveRoom(ctx, id, size)
+	if err != nil {
+		d.logNoRoom(id, err)
+		return false
+	}
+	d.adoptOnRequest(id, r)
+	return true
+}
+
+func (d *Driver) hasOrAdopts(id identifier.BatchID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, busy := d.adopting[id]
+	_, owned := d.owned[id]
+	return busy || owned
 }
 
 // adoptOnRequest adopts a job in the background, unless this host owns it or is doing so already. It retries after errors,
-// because the store may already name this host as the owner.
-func (d *Driver) adoptOnRequest(id identifier.BatchID) {
+// because the store may already name this host as the owner. r is the memory for the job, or nil if none is reserved yet; without
+// memory the job is left to the reviewer.
+func (d *Driver) adoptOnRequest(id identifier.BatchID, r *room) {
 	d.mu.Lock()
 	_, busy := d.adopting[id]
 	_, owned := d.owned[id]
@@ -235,17 +254,26 @@
 	}
 	d.mu.Unlock()
 	if skip {
+		d.releaseRoom(r)
 		return
 	}
 	d.work.Go(func() {
 		for d.base.Err() == nil && !d.isDraining() {
-			err := d.adopt(d.base, id, adoption{requested: true})
+			d.loads <- struct{}{}
+			err := d.adopt(d.base, id, adoption{requested: true, room: r})
+			<-d.loads
+			r = nil
+			if errors.Is(err, errNoRoom) {
+				d.logNoRoom(id, err)
+				break
+			}
 			if err == nil {
 				break
 			}
 			d.config.Log.Warn(logger.JobsNotReviewed).Str("request", string(id)).Err(err).Send()
 			d.sleep(maxStoreBackoff)
 		}
+		d.releaseRoom(r)
 		d.mu.Lock()
 		delete(d.adopting, id)
 		d.mu.Unlock()
@@ -290,10 +318,10 @@
 
 // discard removes an expired job from the store.
 func (d *Driver) discard(ctx context.Context, head batchkeeper.Head) {
-	_, chunks, err := d.readChain(ctx, head.ID)
+	_, chunks, err := d.readChain(ctx, head.ID, nil)
 	if err == nil {
 		var texts int
-		if _, texts, err = d.config.Keeper.Texts(ctx, head.ID); err == nil {
+		if _, texts, err = d.config.Keeper.Texts(ctx, head.ID, nil); err == nil {
 			d.drop(head.ID, head)
 			err = d.config.Keeper.Remove(ctx, head, chunks, texts)
 		}
@@ -309,6 +337,8 @@
 	// progress holds the unfinished texts if the host from hands the job over; otherwise it is nil.
 	progress []codec.ItemProgress
 	from     identifier.HostID
+	// room is the memory for the job; nil means that none is reserved yet.
+	room *room
 }
 
 // mayAdopt reports whether this host may take a job over. An owner that merely seems to be gone is asked.
@@ -326,8 +356,10 @@
 	}
 }
 
-// adopt makes this host the owner of a job and resumes it.
+// adopt makes this host the owner of a job and resumes it. The error is errNoRoom if this host has no memory for the job.
 func (d *Driver) adopt(ctx context.Context, id identifier.BatchID, reason adoption) error {
+	r := reason.room
+	defer func() { d.releaseRoom(r) }()
 	head, err := d.config.Keeper.Head(ctx, id)
 	if errors.Is(err, connector.ErrNotFound) {
 		return nil
@@ -338,6 +370,11 @@
 	if !d.mayAdopt(ctx, head, reason) {
 		return nil
 	}
+	if r == nil {
+		if r, err = d.reserveRoom(ctx, id, d.neededRoom(head.BatchHead)); err != nil {
+			return err
+		}
+	}
 	d.config.Log.Info(logger.AdoptionBegan).Str("request", string(id)).Str("former", string(head.Owner)).Int("parts", head.Parts).Int("items", head.Total).
 		Int64("memory_used", int64(d.config.Memory.Used())).Int64("memory_limit", int64(d.config.Memory.Limit())).Send()
 	former := codec.Member{ID: head.Owner, Address: head.Address}
@@ -357,15 +394,16 @@
 	}
 	// A build without customers leaves the customer out of the heads that it writes.
 	head.Customer = job.Customer
-	initial := initialState{source: jobSourceAdopted, partItems: partItems, bodiesLeft: bodiesLeft, progress: reason.progress}
+	initial := initialState{source: jobSourceAdopted, room: r, partItems: partItems, bodiesLeft: bodiesLeft, progress: reason.progress}
 	if reason.progress != nil {
 		initial.source = jobSourceHandedOver
 	}
 	initial.confirmedAt = time.Now()
-	if initial.results, initial.chunks, err = d.fenceChain(ctx, id); err != nil {
+	count := func(size identifier.Bytes) error { return d.growRoom(ctx, r, size) }
+	if initial.results, initial.chunks, err = d.fenceChain(ctx, id, count); err != nil {
 		return err
 	}
-	if initial.saved, initial.textChunks, err = d.config.Keeper.Texts(ctx, id); err != nil {
+	if initial.saved, initial.textChunks, err = d.config.Keeper.Texts(ctx, id, count); err != nil {
 		return err
 	}
 	// The job may have been ended or taken over during these reads.
@@ -394,11 +432,11 @@
 }
 
 // fenceChain reads a job's list of results and appends an empty chunk, so that a write of the former owner that is still
-// in progress finds its position taken and cannot extend the list unnoticed.
-func (d *Driver) fenceChain(ctx context.Context, id identifier.BatchID) ([]codec.BatchResult, int, error) {
+// in progress finds its position taken and cannot extend the list unnoticed. count is called with the size of what is read.
+func (d *Driver) fenceChain(ctx context.Context, id identifier.BatchID, count func(identifier.Bytes) error) ([]codec.BatchResult, int, error) {
 	fence := codec.BatchChunk{Writer: batchkeeper.NewWriter(d.config.Self.ID), Results: []codec.BatchResult{}}
 	for {
-		results, chunks, err := d.readChain(ctx, id)
+		results, chunks, err := d.readChain(ctx, id, count)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -433,13 +471,8 @@
 func (d *Driver) handOver(ctx context.Context, h *ownedJob) {
 	id := h.head.ID
 	progress := []codec.ItemProgress{}
-	asked := []identifier.HostID{d.config.Self.ID}
-	for range maxHandoverTargets {
-		target := d.home(h.job, asked...)
-		if slices.Contains(asked, target.ID) {
-			return
-		}
-		if len(asked) == 1 {
+	for i, target := range d.candidates(h.job, maxHandoverTargets, d.config.Self.ID) {
+		if i == 0 {
 			d.mu.Lock()
 			progress = append(progress, d.machine.Progress(id)...)
 			d.mu.Unlock()
@@ -447,7 +480,6 @@
 			// whichever host is second at a position reads the list again.
 			d.drop(id, batchkeeper.Head{ID: id, BatchHead: codec.BatchHead{Owner: target.ID, Total: h.head.Total, Parts: h.head.Parts, Customer: h.job.Customer}})
 		}
-		asked = append(asked, target.ID)
 		if d.handOverTo(ctx, target, id, progress) {
 			return
 		}
@@ -479,9 +511,14 @@
 	if progress == nil {
 		progress = []codec.ItemProgress{}
 	}
-	if err := d.adopt(ctx, request.Job, adoption{progress: progress, from: request.From}); err != nil {
+	err := d.adopt(ctx, request.Job, adoption{progress: progress, from: request.From})
+	if errors.Is(err, errNoRoom) {
+		d.logNoRoom(request.Job, err)
+		return codec.SubmitReply{}, nil
+	}
+	if err != nil {
 		// The store may already name this host as the owner.
-		d.adoptOnRequest(request.Job)
+		d.adoptOnRequest(request.Job, nil)
 		return nil, err
 	}
 	return codec.SubmitReply{Accepted: d.isOwned(request.Job)}, nil
--- a/service/batcher/append.go
+++ b/service/batcher/append.go
@@ -94,7 +94,7 @@
 			d.drop(id, head)
 			return
 		}
-		results, chunks, err := d.readChain(d.base, id)
+		results, chunks, err := d.readChain(d.base, id, nil)
 		if err != nil {
 			d.sleep(maxStoreBackoff)
 			continue
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -106,6 +106,13 @@
 	customers map[identifier.BatchID]identifier.CustomerName
 	// adopting holds the jobs that are being adopted on request.
 	adopting map[identifier.BatchID]struct{}
+	// rooms holds the memory that is reserved for jobs that this host is about to own; a job that it opens takes its room over.
+	rooms   map[*room]identifier.Bytes
+	unowned placements
+	// outgrown holds the memory that jobs need at least, for which this host had none once it had read a part of their texts and results.
+	outgrown map[identifier.BatchID]identifier.Bytes
+	// loads holds an element for each job that is being read on request.
+	loads chan struct{}
 	// lists shares the lists of all heads that other hosts request.
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
@@ -176,8 +183,10 @@
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
 		customers:  make(map[identifier.BatchID]identifier.CustomerName),
 		forwarding: make(map[identifier.BatchID]struct{}), shown: make(map[identifier.BatchID]int),
-		adopting: make(map[identifier.BatchID]struct{}), chains: make(map[identifier.BatchID]*cachedChain),
-		base: base, cancel: cancel, startedAt: time.Now(), parts: partCache{keeper: config.Keeper},
+		adopting: make(map[identifier.BatchID]struct{}), rooms: make(map[*room]identifier.Bytes), outgrown: make(map[identifier.BatchID]identifier.Bytes), loads: make(chan struct{}, maxLoads),
+		unowned: placements{pending: make(map[identifier.BatchID]batchkeeper.Head), waiting: make(map[identifier.BatchID]struct{})},
+		chains:  make(map[identifier.BatchID]*cachedChain),
+		base:    base, cancel: cancel, startedAt: time.Now(), parts: partCache{keeper: config.Keeper},
 	}
 	d.lists = newSharedRead(d.work, func() ([]batchkeeper.Head, error) { return d.config.Keeper.Heads(d.base, false) })
 	config.Peers.Handle(methodSubmit, d.serveSubmit)
--- a/service/batcher/memory.go
+++ b/service/batcher/memory.go
@@ -23,10 +23,7 @@
 	jobShare  = 2
 	// chargeInterval is the time between two measurements of the jobs.
 	chargeInterval = 500 * time.Millisecond
-	// itemSize is the assumed memory of an item without its texts, and fieldSize that of a header field or a reward call.
-	itemSize  = identifier.Bytes(1 << 10)
-	fieldSize = identifier.Bytes(64)
-	// maxCachedParts is the number of parts whose items' bodies were read from the store last and are kept.
+	// maxCachedParts is the number of parts whose bodies were read from the store last and are kept.
 	maxCachedParts = 4
 	// maxChainBytes bounds the cached results of other hosts' jobs.
 	maxChainBytes = identifier.Bytes(16 << 20)
@@ -42,7 +39,7 @@
 	}
 	for _, it := range j.items {
 		bodies += identifier.Bytes(len(it.spec.Body))
-		rest += itemSize + textSize(it.events) + requestSize(it.spec)
+		rest += batchkeeper.ItemSize(it.spec) + textSize(it.events)
 	}
 	return bodies, rest + resultsSize(j.results) + resultsSize(j.pending)
 }
@@ -55,42 +52,26 @@
 	return size
 }
 
-func resultsSize(results []codec.BatchResult) identifier.Bytes {
+func progressSize(texts []codec.ItemProgress) identifier.Bytes {
 	var size identifier.Bytes
-	for _, result := range results {
-		size += resultOverhead + identifier.Bytes(len(result.Text))
+	for _, text := range texts {
+		size += textSize(text.Events)
 	}
 	return size
 }
 
-// bodySize returns the size of the bodies of items.
-func bodySize(items []codec.BatchItem) identifier.Bytes {
+func resultsSize(results []codec.BatchResult) identifier.Bytes {
 	var size identifier.Bytes
-	for _, item := range items {
-		size += identifier.Bytes(len(item.Body))
-	}
-	return size
-}
-
-// requestSize returns the memory of what is needed to run an item, without its body.
-func requestSize(item *codec.BatchItem) identifier.Bytes {
-	size := identifier.Bytes(len(item.Path))
-	for _, field := range item.Header {
-		size += fieldSize + identifier.Bytes(len(field.Name)+len(field.Value))
-	}
-	if item.Reward != nil {
-		size += fieldSize + identifier.Bytes(len(item.Reward.ID)+len(item.Reward.Host)+len(item.Reward.Path)+len(item.Reward.Body))
+	for _, result := range results {
+		size += resultOverhead + identifier.Bytes(len(result.Text))
 	}
 	return size
 }
 
-// jobSize returns the approximate size of a job in a message.
+// jobSize returns the memory that a job takes, without texts and results.
 func jobSize(job codec.BatchJob) identifier.Bytes {
-	size := bodySize(job.Items)
-	for i := range job.Items {
-		size += requestSize(&job.Items[i])
-	}
-	return size
+	size, bodies := batchkeeper.ItemsSize(job.Items)
+	return size + bodies
 }
 
 // keepBodies reports whether the bodies of items may stay in memory, and counts them then. d.mu must not be held.
@@ -99,7 +80,7 @@
 	if limit == 0 {
 		return true
 	}
-	size := bodySize(items)
+	_, size := batchkeeper.ItemsSize(items)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.bodyBytes+size > limit/bodyShare {
@@ -160,20 +141,27 @@
 			ended = append(ended, h)
 		}
 	}
+	d.unloadEnded(ended, total, limit/jobShare)
+}
+
+// unloadEnded drops ended jobs, the oldest first, until the jobs of this host, which take total, take at most limit together. It
+// returns what they take then. d.mu must be held.
+func (d *Driver) unloadEnded(ended []*ownedJob, total, limit identifier.Bytes) identifier.Bytes {
 	slices.SortFunc(ended, func(x, y *ownedJob) int {
 		return cmp.Or(x.head.SubmittedAt.Compare(y.head.SubmittedAt), cmp.Compare(x.head.ID, y.head.ID))
 	})
 	for _, h := range ended {
-		if total <= limit/jobShare {
-			return
+		if total <= limit {
+			break
 		}
 		total -= h.memory.Size()
 		d.config.Log.Info(logger.JobUnloaded).Str("request", string(h.head.ID)).Int64("bytes", int64(h.memory.Size())).Send()
 		d.dropLocked(h, h.head)
 	}
+	return total
 }
 
-// partCache reads the bodies of items from the store, one part at a time, and keeps the last parts.
+// partCache reads the bodies of items from the store, one part at a time, and keeps those of the last parts.
 type partCache struct {
 	keeper *batchkeeper.Keeper
 
@@ -184,7 +172,7 @@
 type cachedPart struct {
 	job    identifier.BatchID
 	number int
-	items  []codec.BatchItem
+	bodies [][]byte
 }
 
 var errNoSuchItem = errors.New("the stored part has no such item")
@@ -207,16 +195,20 @@
 		if len(c.parts) >= maxCachedParts {
 			c.parts = slices.Delete(c.parts, 0, 1)
 		}
-		c.parts = append(c.parts, cachedPart{id, number, part.Items})
+		bodies := make([][]byte, len(part.Items))
+		for i, item := range part.Items {
+			bodies[i] = item.Body
+		}
+		c.parts = append(c.parts, cachedPart{id, number, bodies})
 		index = len(c.parts) - 1
 	}
 	found := c.parts[index]
 	// The part that was used last is evicted last.
 	c.parts = append(slices.Delete(c.parts, index, index+1), found)
-	if position >= len(found.items) {
+	if position >= len(found.bodies) {
 		return nil, errNoSuchItem
 	}
-	return found.items[position].Body, nil
+	return found.bodies[position], nil
 }
 
 // itemOf returns the item of a run with its body.
--- a/service/batcher/read.go
+++ b/service/batcher/read.go
@@ -124,7 +124,7 @@
 	if ok && (after < len(known.results) || len(known.results) >= head.Total) {
 		return pageOf(known.results, head.Total, after, pageBytes), nil
 	}
-	results, _, err := d.readChain(ctx, head.ID)
+	results, _, err := d.readChain(ctx, head.ID, nil)
 	if err != nil {
 		return codec.BatchPage{}, err
 	}
@@ -261,19 +261,28 @@
 }
 
 // readChain returns all results of a job in the store and the number of their chunks; it reads only the chunks that are
-// not cached.
-func (d *Driver) readChain(ctx context.Context, id identifier.BatchID) ([]codec.BatchResult, int, error) {
+// not cached. count, which may be nil, is called with the size of each chunk and ends the read with its error.
+func (d *Driver) readChain(ctx context.Context, id identifier.BatchID, count func(identifier.Bytes) error) ([]codec.BatchResult, int, error) {
 	d.mu.Lock()
 	var known cachedChain
 	if c, ok := d.chains[id]; ok {
 		known = *c
 	}
 	d.mu.Unlock()
+	if count == nil {
+		count = func(identifier.Bytes) error { return nil }
+	}
+	if err := count(resultsSize(known.results)); err != nil {
+		return nil, 0, err
+	}
 	for {
 		chunk, err := d.config.Keeper.Chunk(ctx, id, known.chunks)
 		if errors.Is(err, connector.ErrNotFound) {
 			break
 		}
+		if err == nil {
+			err = count(resultsSize(chunk.Results))
+		}
 		if err != nil {
 			return nil, 0, err
 		}
--- a/service/batcher/submit.go
+++ b/service/batcher/submit.go
@@ -75,7 +75,7 @@
 	if draining {
 		return d.findWhileDraining(ctx, job, outcomeUnknown)
 	}
-	status, err := d.create(ctx, job, time.Now())
+	status, err := d.create(ctx, job, time.Now(), nil)
 	if status == connector.BatchRefused && outcomeUnknown {
 		status = connector.BatchOutcomeUnknown
 	}
@@ -98,8 +98,10 @@
 	}
 }
 
-// create stores a job with this host as owner and starts it. A job that exists already counts as accepted.
-func (d *Driver) create(ctx context.Context, job codec.BatchJob, submittedAt time.Time) (connector.BatchStatus, error) {
+// create stores a job with this host as owner and starts it. A job that exists already counts as accepted. r is the memory for the
+// job; nil means that the submission holds it.
+func (d *Driver) create(ctx context.Context, job codec.BatchJob, submittedAt time.Time, r *room) (connector.BatchStatus, error) {
+	defer d.releaseRoom(r)
 	// The write continues if the caller disconnects: otherwise the job might be stored while its owner does not know it.
 	ctx = context.WithoutCancel(ctx)
 	began := time.Now()
@@ -117,14 +119,14 @@
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(job.ID)).Str("outcome", string(connector.BatchRefused)).Err(err).Send()
 		return connector.BatchRefused, err
 	case created:
-		initial := initialState{source: jobSourceCreated, partItems: head.PartItems, confirmedAt: began}
+		initial := initialState{source: jobSourceCreated, room: r, partItems: head.PartItems, confirmedAt: began}
 		job.Items, initial.bodiesLeft = d.leaveBodies(job.Items, head.PartItems)
 		d.open(head, job, initial)
 		return connector.BatchAccepted, nil
 	}
 	d.cacheHead(head)
 	if head.Owner == d.config.Self.ID && !head.Ended {
-		d.adoptOnRequest(job.ID)
+		d.adoptOnRequest(job.ID, nil)
 	}
 	return connector.BatchAccepted, nil
 }
@@ -148,6 +150,8 @@
 	chunks     int
 	// confirmedAt is when results were all that the store held.
 	confirmedAt time.Time
+	// room is the memory that is reserved for the job, if any.
+	room *room
 	// saved holds the unfinished texts from the store, read from textChunks chunks; progress holds those that the former
 	// owner handed over.
 	saved      []codec.ItemProgress
@@ -176,7 +180,7 @@
 	}
 	owned.beyond = newSharedRead(d.work, func() ([]codec.BatchResult, error) { return d.readBeyond(owned) })
 	owned.job.Items = nil
-	owned.memory = d.config.Memory.Charge(itemSize*identifier.Bytes(len(job.Items)) + jobSize(job))
+	owned.memory = d.occupy(initial.room, jobSize(job)+resultsSize(initial.results)+progressSize(initial.saved)+progressSize(initial.progress))
 	owned.rewards, owned.stopRewards = context.WithCancel(d.base)
 	d.owned[head.ID] = owned
 	delete(d.headCache, head.ID)
@@ -261,7 +265,15 @@
 	if d.isDraining() {
 		return codec.SubmitReply{}, nil
 	}
-	status, err := d.create(ctx, request.Job, request.SubmittedAt)
+	waitCtx, cancel := context.WithTimeout(ctx, forwardedWait)
+	defer cancel()
+	size, bodies := batchkeeper.ItemsSize(request.Job.Items)
+	r, err := d.reserveRoom(waitCtx, request.Job.ID, d.neededRoom(codec.BatchHead{Size: size, BodySize: bodies}))
+	if err != nil {
+		d.logNoRoom(request.Job.ID, err)
+		return codec.SubmitReply{}, nil
+	}
+	status, err := d.create(ctx, request.Job, request.SubmittedAt, r)
 	if err != nil {
 		d.config.Log.Warn(logger.JobRefused).Str("request", string(request.Job.ID)).Str("from", string(request.From)).Err(err).Send()
 	}
--- a/service/batchkeeper/batchkeeper.go
+++ b/service/batchkeeper/batchkeeper.go
@@ -52,11 +52,12 @@
 // New returns a Keeper that uses the given store.
 func New(store connector.ObjectStore) *Keeper { return &Keeper{store: store} }
 
-// Create stores a job under a head. If the job exists already, it returns the existing head and created is false. An
+// Create stores a job under a head, to which it adds the size of the job. If the job exists already, it returns the existing head and created is false. An
 // error that is not connector.ErrOutcomeUnknown means that the job does not exist.
 func (k *Keeper) Create(ctx context.Context, job codec.BatchJob, head codec.BatchHead) (stored Head, created bool, err error) {
 	// Each part is encoded only when the one before is stored, so that a large job is not in memory twice.
 	rest := job.Items
+	head.Size, head.BodySize = ItemsSize(job.Items)
 	var partItems []int
 	for head.Parts = 0; head.Parts == 0 || len(rest) > 0; head.Parts++ {
 		part, taken, err := encodePart(job, rest)
@@ -274,8 +275,9 @@
 	return &PositionTakenError{Chunk: codec.BatchChunk{Writer: stored.Writer}}
 }
 
-// Texts reads the saved unfinished texts of a job and returns them with the number of their chunks.
-func (k *Keeper) Texts(ctx context.Context, id identifier.BatchID) ([]codec.ItemProgress, int, error) {
+// Texts reads the saved unfinished texts of a job and returns them with the number of their chunks. count, which may be nil, is called
+// with the size of each chunk and ends the read with its error.
+func (k *Keeper) Texts(ctx context.Context, id identifier.BatchID, count func(identifier.Bytes) error) ([]codec.ItemProgress, int, error) {
 	byItem := make(map[identifier.ItemID]*codec.ItemProgress)
 	var order []identifier.ItemID
 	for number := 0; ; number++ {
@@ -290,6 +292,11 @@
 		if err != nil {
 			return nil, 0, err
 		}
+		if count != nil {
+			if err := count(identifier.Bytes(len(object.Value))); err != nil {
+				return nil, 0, err
+			}
+		}
 		var chunk codec.TextChunk
 		if err := json.Unmarshal(object.Value, &chunk); err != nil {
 			return nil, 0, annotator.Wrap("decode texts", annotator.Peer(object.Key), err)
--- a/service/batchkeeper/batchkeeper_test.go
+++ b/service/batchkeeper/batchkeeper_test.go
@@ -136,7 +136,7 @@
 	var taken *batchkeeper.PositionTakenError
 	require.ErrorAs(t, write(1, "b"), &taken)
 	require.NoError(t, write(2, "c", codec.SavedText{Item: "2", Events: []string{"r"}, Versions: []identifier.WeightVersion{4}, Complete: true, Score: "s"}))
-	progress, chunks, err := k.Texts(t.Context(), "job-1")
+	progress, chunks, err := k.Texts(t.Context(), "job-1", nil)
 	require.NoError(t, err)
 	require.Equal(t, 3, chunks)
 	require.Equal(t, []codec.ItemProgress{
--- a/service/reserver/reserver.go
+++ b/service/reserver/reserver.go
@@ -207,6 +207,14 @@
 	return a.used+size <= room
 }
 
+// Largest returns the largest size of one reservation, or 0 if there is no limit.
+func (a *Account) Largest() identifier.Bytes {
+	if a.Limit() == 0 {
+		return 0
+	}
+	return a.largest()
+}
+
 // largest returns the largest size of one reservation.
 func (a *Account) largest() identifier.Bytes { return a.config.Limit - a.config.Limit/smallShare }
 
