binder: a lookup that finds no origin is logged with what was asked

A refusal stream_unknown did not tell lost records from hosts that do not respond, from records that had expired with their host or from two contradicting ones. Event 4016 has the hosts that were asked, those that did not respond and the records that the host holds.

--- a/service/binder/driver.go
+++ b/service/binder/driver.go
@@ -116,25 +116,43 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	members := d.directory(stream)
-	replies := make(chan codec.FoundOrigin, len(members))
+	replies := make(chan lookupReply, len(members))
 	for _, member := range members {
 		d.work.Go(func() {
-			var reply codec.FoundOrigin
-			if err := d.call(ctx, member, methodFind, codec.FindOrigin{Stream: stream}, &reply); err != nil {
-				reply = codec.FoundOrigin{}
-			}
+			var reply lookupReply
+			reply.err = d.call(ctx, member, methodFind, codec.FindOrigin{Stream: stream}, &reply.FoundOrigin)
 			replies <- reply
 		})
 	}
+	failed := 0
 	for range members {
-		if reply := <-replies; reply.Found {
+		reply := <-replies
+		if reply.err != nil {
+			failed++
+			continue
+		}
+		if reply.Found {
 			d.put(stream, reply.Origin, reply.Keep.Std())
 			return reply.Origin, true
 		}
 	}
+	d.config.Log.Info(logger.OriginNotFound).Str("stream", string(stream)).Int("asked", len(members)).Int("failed", failed).Int("records", d.count()).Send()
 	return codec.StreamOrigin{}, false
 }
 
+// lookupReply is the response of a directory host.
+type lookupReply struct {
+	codec.FoundOrigin
+	err error
+}
+
+// count returns the number of records of this host.
+func (d *Driver) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.records.Len()
+}
+
 // directory returns the other hosts that may hold the record of a stream, in order.
 func (d *Driver) directory(stream identifier.StreamID) []codec.Member {
 	return elector.Rank(electionPrefix+string(stream), d.config.Members.Live(), directoryHosts+spareHosts, d.config.Members.Self().ID)
--- a/service/binder/records.go
+++ b/service/binder/records.go
@@ -72,6 +72,9 @@
 	return ok && element.Value.(*record).contradicted
 }
 
+// Len returns the number of records.
+func (r *Records) Len() int { return r.order.Len() }
+
 // Expire forgets the records whose time is over.
 func (r *Records) Expire(now time.Time) {
 	for element := r.order.Front(); element != nil; {
