binder: records of streams are passed on after restarts and before stops

Cause: the record of which software version began a stream is sent once, with the first event, to three hosts that keep it in memory. A host that restarts has lost it, and nobody sends it again.

After a change of the live hosts the recorder passes its records on to the directory hosts that lack them; if it is gone, the holders of copies do; a stopping host does so before its streams end. Two contradicting origins travel together, so a refusal stays one. Why it works: each record has a live host that is responsible for it, and an empty process is seen by its incarnation.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -1218,7 +1218,16 @@
 
 	// Origin The pool and the software version of the upstream that brought the first event of a stream or text, which only upstreams of both can continue.
 	Origin StreamOrigin `json:"origin"`
-	Stream StreamID     `json:"stream"`
+
+	// Recorder The host that began the stream, which passes the record on to hosts that lack it. Absent if the sender does not state it.
+	Recorder            HostID      `json:"recorder,omitempty"`
+	RecorderIncarnation Incarnation `json:"recorder_incarnation,omitempty"`
+	Stream              StreamID    `json:"stream"`
+}
+
+// RecordOrigins Passes records on to a host that lacks them, for example since it restarted. Two records of one stream contradict each other.
+type RecordOrigins struct {
+	Records []RecordOrigin `json:"records"`
 }
 
 // Region defines model for Region.
--- a/lib/logger/events.go
+++ b/lib/logger/events.go
@@ -46,6 +46,7 @@
 	StreamResumed         Event = 4011
 	OriginCallFailed      Event = 4012
 	OriginNotFound        Event = 4016
+	OriginsNotPassedOn    Event = 4017
 	UpstreamPathLost      Event = 4013
 	UpstreamPathRegained  Event = 4014
 	ConnectionsEnded      Event = 4015
@@ -144,6 +145,7 @@
 	{StreamResumed, "stream resumed", "A stream goes on after the event in the field after, which an earlier attempt, or an earlier request of the caller, brought. The field software is the version of the upstream's software.", "No action is needed."},
 	{OriginCallFailed, "call about the origin of a stream failed", "A host did not confirm the record of which software version began a stream, or a lookup of it; other hosts hold copies.", "No action is needed if this is rare; otherwise check the host in the field peer."},
 	{OriginNotFound, "origin of a stream not found", "A caller takes a stream up, and neither this host nor another one knows which software version began it. The line has the number of hosts that were asked, how many of them did not respond, and how many records this host holds.", "No action is needed if this is rare; otherwise check whether hosts were lost or replaced faster than they pass records on."},
+	{OriginsNotPassedOn, "origins of streams not passed on", "This host is stopping, and other hosts did not confirm in time that they hold the records of which software version began the streams that this host knows of.", "No action is needed if this is rare; streams without a record cannot be taken up by their callers."},
 	{UpstreamPathLost, "path to upstreams lost", "This host cannot open connections to several upstreams that other hosts reach, so its connections go through other hosts.", "Check this host's network."},
 	{UpstreamPathRegained, "path to upstreams regained", "This host opened a connection to an upstream itself again.", "No action is needed."},
 	{ConnectionsEnded, "connections ended", "A listener closed connections or refused requests, because clients broke its limits or took all of its connections. The line has the listener, the limit of its connections, their number in each state, and the ended ones since the last line by reason.", "No action is needed if callers are served; otherwise find the clients, or raise --max-fds or the memory of the host."},
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -274,11 +274,13 @@
 	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, leaveTimeout)
 	h.logStep("leave", h.prober.Leave(leaveCtx))
 	cancelLeave()
+	h.logStep("pass on origins of streams", h.binder.HandOver(drainCtx))
 	h.sleep(answerCtx, time.Until(waitEnds))
 	h.front.Refuse()
 	// Shutdown also waits for requests whose header is still being read, which InFlight does not count.
 	h.logStep("finish connections", h.callers.Shutdown(answerCtx))
 	h.logStep("finish requests", h.finishRequests(answerCtx))
+	h.logStep("pass on origins of streams", h.binder.HandOver(drainCtx))
 	h.endRequests(ctx)
 	h.logStep("send last counts", h.sendLastCounts(drainCtx))
 	h.logStep("finish tunnels", h.tunneler.Wait(drainCtx))
--- a/service/binder/binder_test.go
+++ b/service/binder/binder_test.go
@@ -27,6 +27,8 @@
 	handlers map[identifier.HostID]map[string]connector.Handler
 	down     map[identifier.HostID]bool
 	all      []codec.Member
+	// called counts the calls of each method, if set.
+	called map[string]int
 	// delay is how long each call takes to arrive.
 	delay time.Duration
 }
@@ -48,6 +50,9 @@
 func (p peers) Call(ctx context.Context, to codec.Member, method string, params, result any) error {
 	time.Sleep(p.fleet.delay)
 	p.fleet.mu.Lock()
+	if p.fleet.called != nil {
+		p.fleet.called[method]++
+	}
 	handler, down := p.fleet.handlers[to.ID][method], p.fleet.down[to.ID] || p.fleet.down[p.self]
 	p.fleet.mu.Unlock()
 	if down {
@@ -95,6 +100,13 @@
 	})
 }
 
+// calls returns the number of calls of a method.
+func (f *fleet) calls(method string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.called[method]
+}
+
 func (f *fleet) setDown(index int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/service/binder/driver.go
+++ b/service/binder/driver.go
@@ -13,19 +13,12 @@
 	"celerygap.example/lib/logger"
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/connector"
-	"celerygap.example/service/elector"
 )
 
 const (
 	// methodRecord records the origin of a stream at a directory host; methodFind asks for one.
 	methodRecord = "record_origin"
 	methodFind   = "find_origin"
-	// electionPrefix distinguishes the choice of the directory hosts from other choices with the same key.
-	electionPrefix = "streams/"
-	// directoryHosts is the number of other hosts that get each record; spareHosts replace those that do not confirm it. A
-	// lookup asks as many hosts as both together, because another host may see other live members.
-	directoryHosts = 3
-	spareHosts     = 3
 	// callTimeout bounds a call to a directory host, arrivalWait included.
 	callTimeout = 400 * time.Millisecond
 	// arrivalWait is how long a directory host waits for a record that it is asked for: the caller may come to the other host
@@ -52,6 +45,7 @@
 
 	mu      sync.Mutex
 	records *Records
+	copier  *Copier
 	// arrived is closed and replaced when a record arrives.
 	arrived chan struct{}
 }
@@ -67,15 +61,28 @@
 	d := &Driver{
 		config: config, work: grouper.NewGroup(-1), base: base, cancel: cancel, records: NewRecords(), arrived: make(chan struct{}),
 	}
+	d.copier = NewCopier(config.Members.Self().ID, d.records)
 	config.Peers.Handle(methodRecord, d.serveRecord)
+	config.Peers.Handle(methodRecords, d.serveRecords)
 	config.Peers.Handle(methodFind, d.serveFind)
 	return d
 }
 
-// Run forgets expired records until ctx ends, then waits for the calls under way; its error is always nil.
+// Run passes records on to hosts that lack them and forgets expired ones until ctx ends, then waits for the calls under way; its error is
+// always nil.
 func (d *Driver) Run(ctx context.Context) error {
 	defer d.work.Wait()
 	defer d.cancel()
+	d.work.Go(func() {
+		d.config.Timer.Each(ctx, copyInterval, func() { d.replicate(ctx) })
+	})
+	d.work.Go(func() {
+		d.config.Timer.Each(ctx, retryInterval, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.copier.Retry()
+		})
+	})
 	d.config.Timer.Each(ctx, expiryInterval, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -86,8 +93,18 @@
 
 // Record keeps the origin of a stream for a time, here and on the directory hosts. It does not wait for these.
 func (d *Driver) Record(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration) {
+	d.mu.Lock()
 	d.put(stream, origin, keep)
-	request := codec.RecordOrigin{Stream: stream, Origin: origin, Keep: identifier.Duration(keep)}
+	if known, ok := d.records.lookup(stream); ok {
+		known.own = true
+		d.copier.Observe(d.config.Members.Live())
+		if known.contradicted() {
+			d.copier.Check(stream)
+		}
+	}
+	d.mu.Unlock()
+	self := d.config.Members.Self()
+	request := codec.RecordOrigin{Stream: stream, Origin: origin, Keep: identifier.Duration(keep), Recorder: self.ID, RecorderIncarnation: self.Incarnation}
 	candidates := make(chan codec.Member, directoryHosts+spareHosts)
 	for _, member := range d.directory(stream) {
 		candidates <- member
@@ -96,7 +113,19 @@
 	for range directoryHosts {
 		d.work.Go(func() {
 			for member := range candidates {
-				if d.call(d.base, member, methodRecord, request, nil) == nil || d.base.Err() != nil {
+				err := d.call(d.base, member, methodRecord, request, nil)
+				if d.base.Err() != nil {
+					return
+				}
+				batch := Batch{To: member, Streams: []identifier.StreamID{stream}}
+				d.mu.Lock()
+				if err == nil {
+					d.copier.Confirmed(batch)
+				} else {
+					d.copier.Check(stream)
+				}
+				d.mu.Unlock()
+				if err == nil {
 					return
 				}
 			}
@@ -132,7 +161,7 @@
 			continue
 		}
 		if reply.Found {
-			d.put(stream, reply.Origin, reply.Keep.Std())
+			d.keepCopy(codec.RecordOrigin{Stream: stream, Origin: reply.Origin, Keep: reply.Keep})
 			return reply.Origin, true
 		}
 	}
@@ -153,9 +182,8 @@
 	return d.records.Len()
 }
 
-// directory returns the other hosts that may hold the record of a stream, in order.
 func (d *Driver) directory(stream identifier.StreamID) []codec.Member {
-	return elector.Rank(electionPrefix+string(stream), d.config.Members.Live(), directoryHosts+spareHosts, d.config.Members.Self().ID)
+	return Directory(stream, d.config.Members.Live(), d.config.Members.Self().ID)
 }
 
 func (d *Driver) call(ctx context.Context, member codec.Member, method string, params, result any) error {
@@ -168,14 +196,24 @@
 	return err
 }
 
+// put records an origin. d.mu must be held.
 func (d *Driver) put(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.records.Put(stream, origin, time.Now().Add(keep))
 	close(d.arrived)
 	d.arrived = make(chan struct{})
 }
 
+// keepCopy records what another host has sent.
+func (d *Driver) keepCopy(received codec.RecordOrigin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.put(received.Stream, received.Origin, received.Keep.Std())
+	if known, ok := d.records.lookup(received.Stream); ok && !known.own && received.Recorder != "" {
+		known.recorder = Process{received.Recorder, received.RecorderIncarnation}
+	}
+	d.copier.Check(received.Stream)
+}
+
 // get returns a record of this host and how much longer it is kept.
 func (d *Driver) get(stream identifier.StreamID) (origin codec.StreamOrigin, keep time.Duration, found bool) {
 	d.mu.Lock()
@@ -203,7 +241,7 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, annotator.Wrap("decode origin of a stream", "peer", err)
 	}
-	d.put(request.Stream, request.Origin, request.Keep.Std())
+	d.keepCopy(request)
 	return struct{}{}, nil
 }
 
--- a/service/binder/records.go
+++ b/service/binder/records.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxRecords bounds the records of a host, some 200 bytes each. Beyond it the oldest ones are forgotten.
+	// maxRecords bounds the records of a host, some 400 bytes each. Beyond it the oldest ones are forgotten.
 	maxRecords = 1 << 16
 	// maxIDLength is the length in bytes of the longest stream id that is recorded: callers choose the ids.
 	maxIDLength = 256
@@ -18,12 +18,18 @@
 // record is the origin of one stream.
 type record struct {
 	stream identifier.StreamID
-	origin codec.StreamOrigin
-	until  time.Time
-	// contradicted is set once another origin was recorded for the stream.
-	contradicted bool
+	// origins holds the origin, or two that contradict each other.
+	origins []codec.StreamOrigin
+	until   time.Time
+	// own is set if this process began the stream; otherwise recorder is the process that did, as far as it is known.
+	own      bool
+	recorder Process
+	// holders holds the processes that have confirmed the record.
+	holders []Process
 }
 
+func (r *record) contradicted() bool { return len(r.origins) > 1 }
+
 // Records holds the origins of streams. It is not safe for concurrent use.
 type Records struct {
 	byStream map[identifier.StreamID]*list.Element
@@ -44,7 +50,11 @@
 	}
 	if element, ok := r.byStream[stream]; ok {
 		known := element.Value.(*record)
-		known.contradicted = known.contradicted || known.origin != origin
+		if !known.contradicted() && known.origins[0] != origin {
+			known.origins = append(known.origins, origin)
+			// The holders have one of the two.
+			known.holders = nil
+		}
 		if until.After(known.until) {
 			known.until = until
 		}
@@ -53,7 +63,7 @@
 	if r.order.Len() >= maxRecords {
 		r.remove(r.order.Front())
 	}
-	r.byStream[stream] = r.order.PushBack(&record{stream: stream, origin: origin, until: until})
+	r.byStream[stream] = r.order.PushBack(&record{stream: stream, origins: []codec.StreamOrigin{origin}, until: until})
 }
 
 // Get returns the origin of a stream and until when it is kept; ok is false if it is not known.
@@ -63,13 +73,29 @@
 		return codec.StreamOrigin{}, time.Time{}, false
 	}
 	known := element.Value.(*record)
-	return known.origin, known.until, now.Before(known.until) && !known.contradicted
+	return known.origins[0], known.until, now.Before(known.until) && !known.contradicted()
 }
 
 // Contradicted reports whether two origins were recorded for a stream.
 func (r *Records) Contradicted(stream identifier.StreamID) bool {
 	element, ok := r.byStream[stream]
-	return ok && element.Value.(*record).contradicted
+	return ok && element.Value.(*record).contradicted()
+}
+
+// lookup returns the record of a stream.
+func (r *Records) lookup(stream identifier.StreamID) (*record, bool) {
+	element, ok := r.byStream[stream]
+	if !ok {
+		return nil, false
+	}
+	return element.Value.(*record), true
+}
+
+// each calls a function with each stream, the oldest first.
+func (r *Records) each(call func(identifier.StreamID)) {
+	for element := r.order.Front(); element != nil; element = element.Next() {
+		call(element.Value.(*record).stream)
+	}
 }
 
 // Len returns the number of records.
