historian: streams without a record go on where their pool had one software version

A pool with one version proves the origin of its streams; several versions, several pools, contradicting records, an incomplete history or no store leave the refusal. Why it works: what the proof needs changes only when an engine of another version is listed, so it is written then, and not for each stream. Cost in calm: one read and one write in all.

--- a/lib/codec/codec.gen.go
+++ b/lib/codec/codec.gen.go
@@ -756,7 +756,9 @@
 
 // FoundOrigin defines model for FoundOrigin.
 type FoundOrigin struct {
-	Found bool `json:"found"`
+	// Contradicted The sender holds two different origins of the stream.
+	Contradicted bool `json:"contradicted,omitempty"`
+	Found        bool `json:"found"`
 
 	// Keep How much longer the sender keeps the record.
 	Keep Duration `json:"keep,omitempty"`
@@ -1150,6 +1152,12 @@
 // PoolName defines model for PoolName.
 type PoolName = identifier.PoolName
 
+// PoolSoftware The software versions of the upstreams that a pool has, and had until a while ago.
+type PoolSoftware struct {
+	Pool     PoolName          `json:"pool"`
+	Versions []SoftwareVersion `json:"versions"`
+}
+
 // ProbeMessage defines model for ProbeMessage.
 type ProbeMessage struct {
 	From Member `json:"from"`
@@ -1356,6 +1364,13 @@
 	ShowAt   time.Time    `json:"show_at"`
 }
 
+// SoftwareHistory Value of the store object softwarehistory/pools.
+type SoftwareHistory struct {
+	// Complete No pool had other versions for as long as versions are kept.
+	Complete bool           `json:"complete,omitempty"`
+	Pools    []PoolSoftware `json:"pools"`
+}
+
 // SoftwareVersion defines model for SoftwareVersion.
 type SoftwareVersion = identifier.SoftwareVersion
 
--- a/service/assembler/assembler.go
+++ b/service/assembler/assembler.go
@@ -28,6 +28,7 @@
 	"celerygap.example/service/connector"
 	"celerygap.example/service/demandkeeper"
 	"celerygap.example/service/dispatcher"
+	"celerygap.example/service/historian"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/pacer"
 	"celerygap.example/service/peerconnector"
@@ -205,6 +206,7 @@
 	scaler     *scaler.Driver
 	pacer      *pacer.Driver
 	binder     *binder.Driver
+	historian  *historian.Driver
 	tunneler   *tunneler.Driver
 	singletons singletons
 
@@ -321,7 +323,10 @@
 	h.pacer = pacer.NewDriver(pacer.DriverConfig{
 		Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log, OnTurn: func() { h.dispatcher.Recheck() },
 	})
-	h.binder = binder.NewDriver(binder.DriverConfig{Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log})
+	h.historian = historian.NewDriver(historian.DriverConfig{
+		Store: h.config.Store, Members: h.prober, Settled: h.settled, FirstStart: settings.FirstStart, Timer: h.timer, Log: h.log,
+	})
+	h.binder = binder.NewDriver(binder.DriverConfig{History: h.historian, Members: h.prober, Peers: h.peers, Timer: h.timer, Log: h.log})
 	h.tunneler = tunneler.NewDriver(tunneler.DriverConfig{
 		Members: h.prober, Peers: h.peers, Direct: h.config.DialUpstream, Known: h.isUpstream, Log: h.log,
 	})
--- a/service/assembler/duties.go
+++ b/service/assembler/duties.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"celerygap.example/lib/codec"
@@ -17,6 +18,7 @@
 	"celerygap.example/service/connector"
 	"celerygap.example/service/elector"
 	"celerygap.example/service/follower"
+	"celerygap.example/service/historian"
 	"celerygap.example/service/limiter"
 	"celerygap.example/service/lister"
 	"celerygap.example/service/placer"
@@ -118,6 +120,7 @@
 		{Name: "demand", Run: h.demand.Run},
 		{Name: "pacer", Run: h.pacer.Run},
 		{Name: "binder", Run: h.binder.Run},
+		{Name: "historian", Run: h.historian.Run},
 		{Name: "configuration", Run: h.configuration.Run},
 		{Name: "upstreams", Run: h.upstreams.Run},
 		{Name: "retirer", Run: h.newRetirer().Run},
@@ -209,6 +212,13 @@
 		}
 	}
 	h.decoded = next
+	versions := make(historian.Versions)
+	for _, host := range hosts {
+		if !slices.Contains(versions[host.Pool], host.Software) {
+			versions[host.Pool] = append(versions[host.Pool], host.Software)
+		}
+	}
+	h.historian.Observe(versions)
 	h.lister.Accept(codec.HostList{Revision: update.Sequence, Hosts: hosts})
 }
 
--- a/service/binder/binder_test.go
+++ b/service/binder/binder_test.go
@@ -249,3 +249,36 @@
 	_, _, ok = r.Get(now, "n20")
 	require.True(t, ok)
 }
+
+type provenHistory struct{ pool identifier.PoolName }
+
+func (h provenHistory) Prove(_ context.Context, pool identifier.PoolName) (codec.StreamOrigin, bool) {
+	return codec.StreamOrigin{Pool: pool, Software: "v2"}, pool == h.pool
+}
+
+// Guards against streams that nobody has a record of and that go on where their origin is not proved: their route has several pools, the
+// pool had several versions, or a host has two different records.
+func TestOriginWithoutARecordIsProvedOrUnknown(t *testing.T) {
+	f := &fleet{handlers: make(map[identifier.HostID]map[string]connector.Handler), down: make(map[identifier.HostID]bool)}
+	f.all = []codec.Member{{ID: "h0"}, {ID: "h1"}}
+	var drivers []*binder.Driver
+	for _, member := range f.all {
+		drivers = append(drivers, binder.NewDriver(binder.DriverConfig{
+			History: provenHistory{"p"}, Members: members{member.ID, f.all}, Peers: peers{f, member.ID}, Timer: timer.New(timer.Config{}),
+		}))
+	}
+	found, ok := drivers[0].Resolve(t.Context(), "s", []identifier.PoolName{"p"})
+	require.True(t, ok)
+	require.Equal(t, origin, found)
+	for _, pools := range [][]identifier.PoolName{nil, {"q"}, {"p", "q"}} {
+		_, ok = drivers[0].Resolve(t.Context(), "s", pools)
+		require.False(t, ok, "%v", pools)
+	}
+	drivers[1].Record("s", origin, time.Minute)
+	drivers[1].Record("s", codec.StreamOrigin{Pool: "p", Software: "v1"}, time.Minute)
+	time.Sleep(50 * time.Millisecond)
+	for i, d := range drivers {
+		_, ok = d.Resolve(t.Context(), "s", []identifier.PoolName{"p"})
+		require.False(t, ok, "host %d", i)
+	}
+}
--- a/service/binder/driver.go
+++ b/service/binder/driver.go
@@ -28,8 +28,16 @@
 	expiryInterval = 5 * time.Second
 )
 
+// History tells which upstreams a pool had lately.
+type History interface {
+	// Prove returns the origin of every stream that a pool may have begun and that may still run; ok is false if there may be several.
+	Prove(ctx context.Context, pool identifier.PoolName) (origin codec.StreamOrigin, ok bool)
+}
+
 // DriverConfig configures a Driver.
 type DriverConfig struct {
+	// History is asked about streams without a record; nil means that these stay unknown.
+	History History
 	Members connector.Members
 	Peers   connector.Peers
 	Timer   *timer.Service
@@ -133,14 +141,48 @@
 	}
 }
 
+// Resolve returns the origin of a stream that one of the pools began: that of its record or, if no host that responds has one, the only
+// origin that such a stream can have.
+func (d *Driver) Resolve(ctx context.Context, stream identifier.StreamID, pools []identifier.PoolName) (origin codec.StreamOrigin, found bool) {
+	origin, outcome := d.lookup(ctx, stream)
+	if outcome != originUnknown {
+		return origin, outcome == originFound
+	}
+	if len(pools) == 1 && d.config.History != nil {
+		origin, found = d.config.History.Prove(ctx, pools[0])
+	}
+	if found {
+		d.config.Log.Info(logger.OriginProved).Str("stream", string(stream)).Str("pool", string(origin.Pool)).Str("software", string(origin.Software)).Send()
+	}
+	return origin, found
+}
+
 // Find returns the origin of a stream, from this host or from the first directory host that knows it; found is false if none
 // that responds does.
 func (d *Driver) Find(ctx context.Context, stream identifier.StreamID) (origin codec.StreamOrigin, found bool) {
+	origin, outcome := d.lookup(ctx, stream)
+	return origin, outcome == originFound
+}
+
+// lookupOutcome is the result of a search for a record.
+type lookupOutcome string
+
+const (
+	originFound   lookupOutcome = "found"
+	originUnknown lookupOutcome = "unknown"
+	// originContradicted means that a host has two different records of the stream.
+	originContradicted lookupOutcome = "contradicted"
+)
+
+func (d *Driver) lookup(ctx context.Context, stream identifier.StreamID) (codec.StreamOrigin, lookupOutcome) {
 	if origin, _, ok := d.get(stream); ok {
-		return origin, true
+		return origin, originFound
+	}
+	if d.contradicted(stream) {
+		return codec.StreamOrigin{}, originContradicted
 	}
-	if stream == "" || d.contradicted(stream) {
-		return codec.StreamOrigin{}, false
+	if stream == "" {
+		return codec.StreamOrigin{}, originUnknown
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -153,20 +195,22 @@
 			replies <- reply
 		})
 	}
-	failed := 0
+	failed, outcome := 0, originUnknown
 	for range members {
 		reply := <-replies
-		if reply.err != nil {
+		switch {
+		case reply.err != nil:
 			failed++
-			continue
-		}
-		if reply.Found {
+		case reply.Found:
 			d.keepCopy(codec.RecordOrigin{Stream: stream, Origin: reply.Origin, Keep: reply.Keep})
-			return reply.Origin, true
+			return reply.Origin, originFound
+		case reply.Contradicted:
+			outcome = originContradicted
 		}
 	}
-	d.config.Log.Info(logger.OriginNotFound).Str("stream", string(stream)).Int("asked", len(members)).Int("failed", failed).Int("records", d.count()).Send()
-	return codec.StreamOrigin{}, false
+	d.config.Log.Info(logger.OriginNotFound).Str("stream", string(stream)).Str("outcome", string(outcome)).Int("asked", len(members)).Int("failed", failed).
+		Int("records", d.count()).Send()
+	return codec.StreamOrigin{}, outcome
 }
 
 // lookupReply is the response of a directory host.
@@ -258,6 +302,9 @@
 		if origin, keep, ok := d.get(request.Stream); ok {
 			return codec.FoundOrigin{Found: true, Origin: origin, Keep: identifier.Duration(keep)}, nil
 		}
+		if d.contradicted(request.Stream) {
+			return codec.FoundOrigin{Contradicted: true}, nil
+		}
 		select {
 		case <-arrived:
 		case <-limit.C:
--- a/service/connector/plain.go
+++ b/service/connector/plain.go
@@ -66,8 +66,9 @@
 type StreamOrigins interface {
 	// Record keeps the origin of a stream for a time; it does not wait for other hosts.
 	Record(stream identifier.StreamID, origin codec.StreamOrigin, keep time.Duration)
-	// Find returns the origin of a stream; found is false if no host that responds knows it.
-	Find(ctx context.Context, stream identifier.StreamID) (origin codec.StreamOrigin, found bool)
+	// Resolve returns the origin of a stream that one of the pools began; found is false if no host that responds knows it and
+	// it cannot be proved either.
+	Resolve(ctx context.Context, stream identifier.StreamID, pools []identifier.PoolName) (origin codec.StreamOrigin, found bool)
 }
 
 // StreamSink receives a stream for the caller.
--- a/service/dispatcher/software_test.go
+++ b/service/dispatcher/software_test.go
@@ -118,7 +118,7 @@
 	o.known[stream] = origin
 }
 
-func (o *fakeOrigins) Find(_ context.Context, stream identifier.StreamID) (codec.StreamOrigin, bool) {
+func (o *fakeOrigins) Resolve(_ context.Context, stream identifier.StreamID, _ []identifier.PoolName) (codec.StreamOrigin, bool) {
 	origin, ok := o.known[stream]
 	return origin, ok
 }
--- a/service/dispatcher/stream.go
+++ b/service/dispatcher/stream.go
@@ -92,20 +92,30 @@
 	j := s.job
 	origin, found := codec.StreamOrigin{}, false
 	if j.config().Origins != nil {
-		origin, found = j.config().Origins.Find(ctx, s.request.Resumes)
+		origin, found = j.config().Origins.Resolve(ctx, s.request.Resumes, usedPools(j.entry.Route))
 	}
 	switch {
 	case ctx.Err() != nil:
 		return j.refuseContextEnded(ctx)
 	case !found:
-		return j.refuse(refuser.StreamUnknown, shortRetryAfter, "no host that responds knows which software version began stream %q", s.request.Resumes)
-	case !slices.ContainsFunc(j.entry.Route.Pools, func(share codec.WeightedPool) bool { return share.Pool == origin.Pool && share.Weight > 0 }):
+		return j.refuse(refuser.StreamUnknown, shortRetryAfter, "no host that responds knows which software version began stream %q, and several may have", s.request.Resumes)
+	case !slices.Contains(usedPools(j.entry.Route), origin.Pool):
 		return j.refuse(refuser.NoUpstream, 0, "the stream began in pool %s, which entry %s does not use any more", origin.Pool, j.entry.Name)
 	}
 	j.pool, j.software = origin.Pool, &origin.Software
 	return nil
 }
 
+// usedPools returns the pools of a route that get requests.
+func usedPools(route *codec.RouteSpec) (pools []identifier.PoolName) {
+	for _, share := range route.Pools {
+		if share.Weight > 0 {
+			pools = append(pools, share.Pool)
+		}
+	}
+	return pools
+}
+
 // recordOrigin lets other hosts continue the stream if its caller comes to them. Until its deadline, and originGrace longer, the
 // caller may do so.
 func (s *stream) recordOrigin(p placement) {
