accountant: collecting hosts pass on the counts of processes that have ended

Cause: a live process sends its counts to each new collecting process, an ended one can't, and nobody sent what was collected.

Change: a collecting host sends what it has to collecting processes that are new, and before it stops. Counts are cumulative, so repeats do no harm. Cost: for each change of the two hosts one message for each process with counts.

--- a/service/accountant/collector.go
+++ b/service/accountant/collector.go
@@ -74,6 +74,21 @@
 	return reply
 }
 
+// All returns the counts of all processes, one message for each.
+func (c *Collector) All() []codec.UsageCounts {
+	byProcess := make(map[process][]codec.WindowCounts)
+	for window, processes := range c.counts {
+		for from, counts := range processes {
+			byProcess[from] = append(byProcess[from], codec.WindowCounts{Window: window, Counts: maps.Clone(counts)})
+		}
+	}
+	messages := make([]codec.UsageCounts, 0, len(byProcess))
+	for from, windows := range byProcess {
+		messages = append(messages, codec.UsageCounts{From: from.host, Process: from.start, Windows: windows})
+	}
+	return messages
+}
+
 // Sum returns the requests of all processes in a window, and from how many processes they come.
 func (c *Collector) Sum(window identifier.UsageWindow) (sum Counts, processes int) {
 	sum = make(Counts)
--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,6 +93,9 @@
 	// failing holds the destinations whose last message failed, so that a lasting failure is logged once.
 	failing map[Destination]bool
 	leaving bool
+	// passed holds the collecting processes that have what this host has collected, as far as it came before they were chosen; the value is
+	// false while that is being sent.
+	passed map[Destination]bool
 	// chosen are the collecting hosts until chosenUntil.
 	chosen      []codec.Member
 	chosenUntil time.Time
@@ -102,6 +108,7 @@
 		config: config, windows: windows, startedAt: windows.At(config.Clock()), work: grouper.NewGroup(-1),
 		events: buffer.New[Event](eventCapacity), reporter: NewReporter(windows), counter: NewCounter(windows),
 		collector: NewCollector(windows), lacking: make(map[Destination]bool), failing: make(map[Destination]bool),
+		passed: make(map[Destination]bool),
 	}
 	config.Peers.Handle(methodCounts, d.serveCounts)
 	config.Peers.Handle(methodQuery, d.serveQuery)
@@ -150,13 +157,16 @@
 	defer cancel()
 	d.mu.Lock()
 	d.leaving, d.chosenUntil = true, time.Time{}
+	// A collecting host may lack what came while it was not reached.
+	clear(d.passed)
 	d.mu.Unlock()
 	ticks, stop := d.config.Timer.Subscribe(flushInterval)
 	defer stop()
 	for {
 		d.send(ctx, true)
 		d.mu.Lock()
-		confirmed := d.counter.Confirmed(destinations(d.collecting()))
+		chosen := destinations(d.collecting())
+		confirmed := d.counter.Confirmed(chosen) && !slices.ContainsFunc(chosen, func(to Destination) bool { return !d.passed[to] })
 		d.mu.Unlock()
 		if confirmed {
 			return nil
@@ -207,6 +217,7 @@
 	d.mu.Lock()
 	members := d.collecting()
 	sends := d.counter.Due(d.config.Clock(), destinations(members), flush)
+	d.passOn(ctx, members)
 	d.mu.Unlock()
 	for _, send := range sends {
 		to, _ := elector.Find(send.To.Host, members)
@@ -220,6 +231,35 @@
 	}
 }
 
+// passOn sends what this host has collected to collecting processes that are new, since processes that have ended do not send their
+// counts again. The mutex must be held.
+func (d *Driver) passOn(ctx context.Context, members []codec.Member) {
+	chosen := destinations(members)
+	maps.DeleteFunc(d.passed, func(to Destination, _ bool) bool { return !slices.Contains(chosen, to) })
+	for i, to := range chosen {
+		if _, begun := d.passed[to]; begun || to.Host == d.config.Members.Self().ID {
+			continue
+		}
+		d.passed[to] = false
+		messages := d.collector.All()
+		d.work.Go(func() {
+			var err error
+			for _, message := range messages {
+				callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+				err = errors.Join(err, d.config.Peers.Call(callCtx, members[i], methodCounts, message, nil))
+				cancel()
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if err != nil {
+				delete(d.passed, to)
+				return
+			}
+			d.passed[to] = true
+		})
+	}
+}
+
 // sent records the result of a message.
 func (d *Driver) sent(send Send, err error) {
 	d.mu.Lock()
--- a/service/accountant/driver_test.go
+++ b/service/accountant/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,15 +44,24 @@
 	id identifier.HostID
 }
 
-func (e endpoint) Self() codec.Member   { return codec.Member{ID: e.id, Incarnation: 1} }
-func (e endpoint) Live() []codec.Member { return e.members }
+func (e endpoint) Self() codec.Member { return codec.Member{ID: e.id, Incarnation: 1} }
+
+func (e endpoint) Live() []codec.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.members)
+}
 
 func (e endpoint) Handle(method string, handler connector.Handler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.handlers[method+" "+string(e.id)] = handler
 }
 
 func (e endpoint) Call(ctx context.Context, to codec.Member, method string, params, result any) error {
+	e.mu.Lock()
 	handler, ok := e.handlers[method+" "+string(to.ID)]
+	e.mu.Unlock()
 	if !ok {
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
 	}
@@ -184,3 +194,68 @@
 		}
 	}
 }
+
+// Guards against counts of a process that has ended and that were only on the two collecting hosts, both of which are restarted before the
+// report.
+func TestCountsSurviveARollingRestart(t *testing.T) {
+	const window = 20 * time.Second
+	f := &fleet{handlers: make(map[string]connector.Handler), reports: make(map[identifier.UsageWindow][]string), store: storekeeper.New()}
+	service := timer.New(timer.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	group := grouper.NewGroup(-1)
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	group.Go(func() { _ = service.Run(ctx) })
+	drivers := make(map[identifier.HostID]*accountant.Driver)
+	stops := make(map[identifier.HostID]func())
+	start := func(id identifier.HostID, incarnation identifier.Incarnation) {
+		meters, err := meter.New()
+		require.NoError(t, err)
+		f.mu.Lock()
+		f.members = append(f.members, codec.Member{ID: id, Incarnation: incarnation})
+		f.mu.Unlock()
+		host := endpoint{f, id}
+		driver := accountant.NewDriver(accountant.DriverConfig{
+			LeaseKey: "leases/duties", Lease: host, Members: host, Peers: host, Store: lossyStore{f.store, f}, Calls: host, Clock: time.Now,
+			Timer: service, Log: logger.Discard(), Meter: meters, Window: window, Within: 10 * time.Second, Process: incarnation,
+		})
+		driverCtx, stop := context.WithCancel(ctx)
+		drivers[id], stops[id] = driver, stop
+		group.Go(func() { _ = driver.Run(driverCtx) })
+	}
+	restart := func(id identifier.HostID, incarnation identifier.Incarnation) {
+		f.mu.Lock()
+		f.members = slices.DeleteFunc(slices.Clone(f.members), func(m codec.Member) bool { return m.ID == id })
+		f.mu.Unlock()
+		require.NoError(t, drivers[id].Flush(t.Context()))
+		stops[id]()
+		start(id, incarnation)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	ids := []identifier.HostID{"a", "b", "c"}
+	for _, id := range ids {
+		start(id, 1)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	at := time.Now()
+	for range 7 {
+		drivers["c"].Started("cuka620", at)
+	}
+	now := identifier.UsageWindow(at.UnixNano() / int64(window))
+	restart("c", 2)
+	restart("a", 2)
+	restart("b", 2)
+	most := int64(0)
+	for _, id := range ids {
+		var reply codec.UsageReply
+		require.NoError(t, endpoint{f, "test"}.Call(t.Context(), codec.Member{ID: id}, "usage_query", codec.UsageQuery{Window: now}, &reply))
+		var sum int64
+		for _, counts := range reply.Counts {
+			sum += counts.Windows[0].Counts["cuka620"]
+		}
+		most = max(most, sum)
+	}
+	require.EqualValues(t, 7, most)
+}
