--- a/service/binder/replicate.go
+++ b/service/binder/replicate.go
@@ -19,7 +19,7 @@
 	methodRecords = "record_origins"
 	// copyInterval is how often the records are compared with the live hosts, and maxChecks how many are each time.
 	copyInterval = 250 * time.Millisecond
-	maxChecks    = 1000
+	maxChecks    = 250
 	// maxBatch bounds the records of a message, and maxCalls the messages at the same time.
 	maxBatch = 200
 	maxCalls = 8
