--- a/lib/meter/meter.go
+++ b/lib/meter/meter.go
@@ -61,31 +61,31 @@
 
 // Meter holds the instruments of one host.
 type Meter struct {
-	registry    *prometheus.Registry
-	provider    *sdk.MeterProvider
-	refusals    metric.Int64Counter
-	retries     metric.Int64Counter
-	requests    metric.Int64Counter
-	duration    metric.Float64Histogram
-	delivered   metric.Int64Counter
-	staleness   metric.Float64Histogram
-	wait        metric.Float64Counter
-	keys        metric.Int64Counter
-	admission   metric.Float64Histogram
-	choices     metric.Int64Counter
-	estimated   metric.Float64Counter
-	seen        metric.Float64Counter
-	store       metric.Int64Counter
-	pages       metric.Int64Counter
-	jobsWaiting metric.Int64Gauge
-	duty        metric.Int64Counter
-	windows     metric.Int64Counter
-	counts      metric.Int64Counter
-	peer        metric.Int64Counter
-	bytes       metric.Int64Counter
-	ended       metric.Int64Counter
-	revision    metric.Int64Gauge
-	placement   placementInstruments
+	registry  *prometheus.Registry
+	provider  *sdk.MeterProvider
+	refusals  metric.Int64Counter
+	retries   metric.Int64Counter
+	requests  metric.Int64Counter
+	duration  metric.Float64Histogram
+	delivered metric.Int64Counter
+	staleness metric.Float64Histogram
+	wait      metric.Float64Counter
+	keys      metric.Int64Counter
+	admission metric.Float64Histogram
+	choices   metric.Int64Counter
+	estimated metric.Float64Counter
+	seen      metric.Float64Counter
+	store     metric.Int64Counter
+	pages     metric.Int64Counter
+	waiting   metric.Int64Gauge
+	duty      metric.Int64Counter
+	windows   metric.Int64Counter
+	counts    metric.Int64Counter
+	peer      metric.Int64Counter
+	bytes     metric.Int64Counter
+	ended     metric.Int64Counter
+	revision  metric.Int64Gauge
+	placement placementInstruments
 }
 
 // New returns a meter with a registry of its own.
@@ -117,7 +117,7 @@
 	m.seen = b.floatCounter("celerygap_cost_seen")
 	m.store = b.counter("celerygap_store_calls")
 	m.pages = b.counter("celerygap_batch_pages")
-	m.jobsWaiting = b.gauge("celerygap_batch_jobs_waiting")
+	m.waiting = b.gauge("celerygap_batch_jobs_waiting")
 	m.duty = b.counter("celerygap_duty_calls")
 	m.windows = b.counter("celerygap_usage_windows")
 	m.counts = b.counter("celerygap_usage_count_calls")
@@ -258,7 +258,7 @@
 // JobsWaiting records the batch jobs that wait for a host with memory for them; it does nothing without a meter.
 func (m *Meter) JobsWaiting(jobs int) {
 	if m != nil {
-		m.jobsWaiting.Record(context.Background(), int64(jobs))
+		m.waiting.Record(context.Background(), int64(jobs))
 	}
 }
 
--- a/service/historian/driver.go
+++ b/service/historian/driver.go
@@ -83,7 +83,7 @@
 		}
 		if err := d.maintain(ctx); err != nil {
 			d.setStored(nil)
-			d.config.Log.Warn(logger.SoftwareHistoryNotWritten).Err(err).Send()
+			d.config.Log.Warn(logger.HistoryNotWritten).Err(err).Send()
 		}
 	})
 	return nil
@@ -130,7 +130,7 @@
 		return err
 	}
 	d.setStored(&storedHistory{value: &next, version: object.Version})
-	d.config.Log.Info(logger.SoftwareHistoryWritten).Bool("complete", next.Complete).RawJSON("history", text).Send()
+	d.config.Log.Info(logger.HistoryWritten).Bool("complete", next.Complete).RawJSON("history", text).Send()
 	return nil
 }
 
