accountant: a failed attempt to pass counts on is repeated after a second

It was repeated with each tick of 0.2 s, with a message for each process, as long as a collecting host did not respond; found on reading the change.

--- a/service/accountant/driver.go
+++ b/service/accountant/driver.go
@@ -93,9 +93,8 @@
 	// failing holds the destinations whose last message failed, so that a lasting failure is logged once.
 	failing map[Destination]bool
 	leaving bool
-	// passed holds the collecting processes that have what this host has collected, as far as it came before they were chosen; the value is
-	// false while that is being sent.
-	passed map[Destination]bool
+	// passed holds the collecting processes to which this host passes on what it has collected.
+	passed map[Destination]passing
 	// chosen are the collecting hosts until chosenUntil.
 	chosen      []codec.Member
 	chosenUntil time.Time
@@ -108,7 +107,7 @@
 		config: config, windows: windows, startedAt: windows.At(config.Clock()), work: grouper.NewGroup(-1),
 		events: buffer.New[Event](eventCapacity), reporter: NewReporter(windows), counter: NewCounter(windows),
 		collector: NewCollector(windows), lacking: make(map[Destination]bool), failing: make(map[Destination]bool),
-		passed: make(map[Destination]bool),
+		passed: make(map[Destination]passing),
 	}
 	config.Peers.Handle(methodCounts, d.serveCounts)
 	config.Peers.Handle(methodQuery, d.serveQuery)
@@ -166,7 +165,7 @@
 		d.send(ctx, true)
 		d.mu.Lock()
 		chosen := destinations(d.collecting())
-		confirmed := d.counter.Confirmed(chosen) && !slices.ContainsFunc(chosen, func(to Destination) bool { return !d.passed[to] })
+		confirmed := d.counter.Confirmed(chosen) && !slices.ContainsFunc(chosen, func(to Destination) bool { return !d.passed[to].done })
 		d.mu.Unlock()
 		if confirmed {
 			return nil
@@ -231,16 +230,23 @@
 	}
 }
 
+// passing is the state of passing on what this host has collected to a collecting process.
+type passing struct {
+	begunAt    time.Time
+	busy, done bool
+}
+
 // passOn sends what this host has collected to collecting processes that are new, since processes that have ended do not send their
-// counts again. The mutex must be held.
+// counts again. A failed attempt is repeated after sendInterval. The mutex must be held.
 func (d *Driver) passOn(ctx context.Context, members []codec.Member) {
 	chosen := destinations(members)
-	maps.DeleteFunc(d.passed, func(to Destination, _ bool) bool { return !slices.Contains(chosen, to) })
+	maps.DeleteFunc(d.passed, func(to Destination, _ passing) bool { return !slices.Contains(chosen, to) })
 	for i, to := range chosen {
-		if _, begun := d.passed[to]; begun || to.Host == d.config.Members.Self().ID {
+		state := d.passed[to]
+		if state.busy || state.done || time.Since(state.begunAt) < sendInterval || to.Host == d.config.Members.Self().ID {
 			continue
 		}
-		d.passed[to] = false
+		d.passed[to] = passing{begunAt: time.Now(), busy: true}
 		messages := d.collector.All()
 		d.work.Go(func() {
 			var err error
@@ -251,11 +257,7 @@
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			if err != nil {
-				delete(d.passed, to)
-				return
-			}
-			d.passed[to] = true
+			d.passed[to] = passing{begunAt: d.passed[to].begunAt, done: err == nil}
 		})
 	}
 }
--- a/service/batcher/room.go
+++ b/service/batcher/room.go
@@ -41,8 +41,9 @@
 	return size + bodies
 }
 
-// reserveRoom reserves memory for a job, of which size is known. Jobs stay for long, so they must fit beside each other; for memory that requests hold the
-// job waits as large requests do. A job may fill a host that has no other open one. The error is errNoRoom or that of ctx.
+// reserveRoom reserves memory for a job that takes size as far as is known. Jobs stay for long, so they must fit beside each other; for
+// memory that requests hold, the job waits as large requests do. A job may fill a host that has no other open one. The error is errNoRoom
+// or that of ctx.
 func (d *Driver) reserveRoom(ctx context.Context, id identifier.BatchID, size identifier.Bytes) (*room, error) {
 	account := d.config.Memory
 	if account.Limit() == 0 {
