batcher: many small jobs are read at a time, two large ones

A job of one part takes some six calls to the store, so a host that resumes many small jobs from a slow store (0.3 s a call) would have read about one a second. Found on reading; the reads are bounded by parts now: 16 jobs of one part, or two of eight and more.

--- a/service/batcher/adopt.go
+++ b/service/batcher/adopt.go
@@ -259,9 +259,7 @@
 	}
 	d.work.Go(func() {
 		for d.base.Err() == nil && !d.isDraining() {
-			d.loads <- struct{}{}
 			err := d.adopt(d.base, id, adoption{requested: true, room: r})
-			<-d.loads
 			r = nil
 			if errors.Is(err, errNoRoom) {
 				d.logNoRoom(id, err)
@@ -375,6 +373,11 @@
 			return err
 		}
 	}
+	end, err := d.beginLoad(ctx, head.Parts)
+	if err != nil {
+		return err
+	}
+	defer end()
 	d.config.Log.Info(logger.AdoptionBegan).Str("request", string(id)).Str("former", string(head.Owner)).Int("parts", head.Parts).Int("items", head.Total).
 		Int64("memory_used", int64(d.config.Memory.Used())).Int64("memory_limit", int64(d.config.Memory.Limit())).Send()
 	former := codec.Member{ID: head.Owner, Address: head.Address}
--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"celerygap.example/lib/codec"
 	"celerygap.example/lib/grouper"
 	"celerygap.example/lib/identifier"
@@ -111,8 +113,8 @@
 	unowned placements
 	// outgrown holds the memory that jobs need at least, for which this host had none once it had read a part of their texts and results.
 	outgrown map[identifier.BatchID]identifier.Bytes
-	// loads holds an element for each job that is being read on request.
-	loads chan struct{}
+	// loads bounds the jobs that are being read from the store.
+	loads *semaphore.Weighted
 	// lists shares the lists of all heads that other hosts request.
 	lists    *sharedRead[[]batchkeeper.Head]
 	chains   map[identifier.BatchID]*cachedChain
@@ -183,7 +185,7 @@
 		headCache: make(map[identifier.BatchID]batchkeeper.Head), doubted: make(map[identifier.BatchID]int64),
 		customers:  make(map[identifier.BatchID]identifier.CustomerName),
 		forwarding: make(map[identifier.BatchID]struct{}), shown: make(map[identifier.BatchID]int),
-		adopting: make(map[identifier.BatchID]struct{}), rooms: make(map[*room]identifier.Bytes), outgrown: make(map[identifier.BatchID]identifier.Bytes), loads: make(chan struct{}, maxLoads),
+		adopting: make(map[identifier.BatchID]struct{}), rooms: make(map[*room]identifier.Bytes), outgrown: make(map[identifier.BatchID]identifier.Bytes), loads: semaphore.NewWeighted(loadUnits),
 		unowned: placements{pending: make(map[identifier.BatchID]batchkeeper.Head), waiting: make(map[identifier.BatchID]struct{})},
 		chains:  make(map[identifier.BatchID]*cachedChain),
 		base:    base, cancel: cancel, startedAt: time.Now(), parts: partCache{keeper: config.Keeper},
--- a/service/batcher/room.go
+++ b/service/batcher/room.go
@@ -19,8 +19,10 @@
 	loneShare = 6
 	// forwardedWait is how long a job that another host passes on waits for memory; that host keeps it otherwise.
 	forwardedWait = 100 * time.Millisecond
-	// maxLoads bounds the jobs that are read from the store at the same time, each of which takes memory for decoding its parts.
-	maxLoads = 2
+	// loadUnits bounds the parts of the jobs that are read from the store at the same time, which take memory while they are decoded. A
+	// job of maxLoadUnits parts or more counts as that many, since its parts are read one after the other.
+	loadUnits    = 16
+	maxLoadUnits = 8
 )
 
 // errNoRoom means that this host has no memory for a job.
@@ -154,6 +156,15 @@
 	return true
 }
 
+// beginLoad waits until a job may be read from the store, and returns a function to call after that. The error is that of ctx.
+func (d *Driver) beginLoad(ctx context.Context, parts int) (end func(), err error) {
+	units := int64(min(max(parts, 1), maxLoadUnits))
+	if err := d.loads.Acquire(ctx, units); err != nil {
+		return nil, err
+	}
+	return func() { d.loads.Release(units) }, nil
+}
+
 // releaseRoom gives memory back that no job has taken; r may be nil.
 func (d *Driver) releaseRoom(r *room) {
 	if r == nil {
