--- a/service/batcher/driver.go
+++ b/service/batcher/driver.go
@@ -17,7 +17,6 @@
 	"celerygap.example/lib/timer"
 	"celerygap.example/service/batchkeeper"
 	"celerygap.example/service/connector"
-	"celerygap.example/service/elector"
 	"celerygap.example/service/matcher"
 	"celerygap.example/service/reserver"
 )
@@ -478,25 +477,3 @@
 	delete(d.owned, id)
 	d.headCache[id] = head
 }
-
-// home returns the live host that should own a job: the same one for all jobs of a model, so that these share one view of
-// their engines. A job without a model has the home of its ID.
-func (d *Driver) home(job codec.BatchJob, without ...identifier.HostID) codec.Member {
-	key := string(job.Model)
-	if key == "" {
-		key = string(job.ID)
-	}
-	return d.homeOf(key, without...)
-}
-
-func (d *Driver) homeOf(key string, without ...identifier.HostID) codec.Member {
-	home, ok := elector.Choose(key, d.config.Members.Live(), without...)
-	if !ok {
-		return d.config.Members.Self()
-	}
-	return home
-}
-
-func (d *Driver) liveMember(id identifier.HostID) (codec.Member, bool) {
-	return elector.Find(id, d.config.Members.Live())
-}
